--- a/cmd/drill/translate.go
+++ b/cmd/drill/translate.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"io"
 
-	"sablelever/control"
-	"sablelever/internal/wire"
+	"beammux/control"
+	"beammux/internal/wire"
 )
 
 var codes = map[string]control.Code{
--- a/control/control.go
+++ b/control/control.go
@@ -1,4 +1,4 @@
-// The decisions of sablelever. The interface (settings, events, actions, types) is in interface.go.
+// The decisions of beammux. The interface (settings, events, actions, types) is in interface.go.
 //
 // The mechanism is that of draft-asveren-dime-cong-02: a congestion level (0 to 4) with hysteresis for
 // each server, no new set-up at level 2 or more, level 0 before level 1, refusal at once when all are
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"sablelever/control"
+	"beammux/control"
 )
 
 func Example() {
