--- a/cmd/drill/translate.go
+++ b/cmd/drill/translate.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 
@@ -17,15 +15,6 @@
 	"CANCELLED": control.Cancelled, "TOO_LATE": control.NotSent,
 }
 
-var fieldNames = map[string]control.Field{
-	"spare": control.Spare, "total": control.Total, "lat_ms": control.WaitMs, "q": control.Queue,
-	"busy": control.Busy,
-}
-
-var repeats = map[string]control.Repeat{
-	"read_like": control.ReadLike, "idempotency_key": control.Keyed, "non_idempotent": control.Once,
-}
-
 // instance is one front: its module and whether a told wait comes in its reasons.
 type instance struct {
 	module    *control.Controller
@@ -126,63 +115,16 @@
 	if err != nil {
 		return err
 	}
-	var s wire.Settings
-	if err := json.Unmarshal([]byte(text), &s); err != nil {
-		return settingsFault(m, err)
-	}
-	set, err := settings(m, &s)
+	site, err := control.ParseSite(text)
 	if err != nil {
-		return err
+		return m.Fault("settings", err.Error())
 	}
-	at := &instance{control.New(set, seed), s.Extra.TellsWait}
+	at := &instance{control.New(site.Settings, seed), site.TellsWait}
 	h.instances[i] = at
 	h.handle(i, at, control.Start{})
 	return nil
 }
 
-func settingsFault(m *wire.Message, err error) error {
-	var typed *json.UnmarshalTypeError
-	if errors.As(err, &typed) {
-		return m.Fault("settings", "key "+typed.Field+" has a wrong type")
-	}
-	return m.Fault("settings", "not a JSON object: "+err.Error())
-}
-
-func settings(m *wire.Message, s *wire.Settings) (control.Settings, error) {
-	set := control.Settings{
-		Fronts: s.Balancers, Here: -1, OverShareWorth: s.OverShareWorth,
-		AttemptsCap: s.Bounds.AttemptsCap, Cancel: s.Bounds.Cancel,
-		RetryAfter: s.Bounds.RetryAfter, Ask: s.Discovery == "subscribe",
-		MaxRetryAfter: control.Micros(s.Bounds.MaxRetryAfter),
-		ReleaseGuard:  control.Micros(s.Extra.ReleaseGuard),
-		ResendGap:     control.Micros(s.Extra.T1), FallMultiple: s.Guarantees.FallMultiple,
-		StartCapacity: s.Guarantees.StartCapacity, FallTime: control.Micros(s.Guarantees.Fall),
-		WarmWithin: control.Micros(s.Guarantees.WarmWithin),
-	}
-	if s.Extra.Here != nil {
-		set.Here = *s.Extra.Here
-	}
-	for k, c := range s.Classes {
-		repeat, ok := repeats[c.Repeat]
-		if !ok {
-			return set, m.Fault("settings", fmt.Sprintf("key classes[%d].repeat is not known: %q", k, c.Repeat))
-		}
-		class := control.Class{Aim: control.Micros(c.Aim), Deadline: control.Micros(c.Deadline),
-			Worth: c.Worth, LateWorth: c.LateWorth, Repeat: repeat}
-		if k < len(s.Extra.SkilledPools) {
-			class.Pools = s.Extra.SkilledPools[k]
-		}
-		set.Classes = append(set.Classes, class)
-	}
-	for _, t := range s.Tenants {
-		set.Tenants = append(set.Tenants, control.Tenant{QuotaPerS: t.QuotaPerS})
-	}
-	for _, name := range s.Report.Fields {
-		set.Report = append(set.Report, fieldNames[name])
-	}
-	return set, nil
-}
-
 func (h *host) census(m *wire.Message, r *wire.Reader) error {
 	id, err := m.Int("roster-id")
 	if err != nil {
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,86 @@
+// Package config reads the gatekeeper's configuration once into the few values that the program uses.
+package config
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"beammux/control"
+	"beammux/internal/protocol/bus"
+)
+
+// Config is what the platform tells a gatekeeper.
+type Config struct {
+	Name, Listen string
+	Seed         uint64
+	Cores        float64
+	MemoryMB     int
+	Sockets      int
+	Bus          string
+	Last         int64       // number of the last event in Known
+	Known        []bus.Event // events up to the start
+	Site         *control.Site
+}
+
+// Error is a fault by file and key.
+type Error struct{ File, Key, What string }
+
+func (e *Error) Error() string {
+	if e.Key == "" {
+		return e.File + ": " + e.What
+	}
+	return e.File + ": key " + e.Key + ": " + e.What
+}
+
+// Load reads a configuration file.
+func Load(file string) (*Config, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{file, "", "can't be read: " + err.Error()}
+	}
+	c, err := parse(text)
+	if e, ok := err.(*Error); ok {
+		e.File = file
+	}
+	return c, err
+}
+
+func parse(text []byte) (*Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, &Error{"", "", "not JSON: " + err.Error()}
+	}
+	c := &Config{Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
+		Bus: string(v.GetStringBytes("bus")), Cores: v.GetFloat64("limits", "cores"),
+		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets")}
+	if c.Listen == "" {
+		return nil, &Error{"", "listen", "missing"}
+	}
+	if seed := string(v.GetStringBytes("seed")); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return nil, &Error{"", "seed", "not 16 hex digits"}
+		}
+	}
+	settings := v.Get("settings")
+	if settings == nil {
+		return nil, &Error{"", "settings", "missing"}
+	}
+	if c.Site, err = control.DecodeSite(settings); err != nil {
+		return nil, &Error{"", "settings", err.Error()}
+	}
+	if known := v.Get("known"); known != nil {
+		c.Last = known.GetInt64("offset")
+		for i, b := range known.GetArray("batch") {
+			e, err := bus.Decode(b)
+			if err != nil {
+				return nil, &Error{"", fmt.Sprintf("known.batch[%d]", i), err.Error()}
+			}
+			c.Known = append(c.Known, e)
+			c.Last = max(c.Last, e.Offset)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/routing/core.go
@@ -0,0 +1,389 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/control"
+)
+
+// Causes (Q.850) of a release.
+const (
+	CauseNormal  = 16 // the call came to its end, or its set-up was given up
+	CauseCongest = 34 // refused: trying again is harmless
+	CauseFailed  = 41 // failed or cut
+)
+
+// Setup is a call as a front took it in.
+type Setup struct {
+	ID          string
+	Class       int // place in the settings, -1 for one that they don't name
+	Tenant      int
+	Key         string // number called
+	FirstChoice int    // cell
+	WasCut      bool
+	Left        time.Duration // how long the caller still waits
+	Body        []byte        // description, passed on unchanged
+}
+
+// Caller is the front's end of one call. Its methods are called by the core's actor and must not block. Answer,
+// Refuse and Fail are the final answer: one of them is called once, unless the call is withdrawn first.
+type Caller interface {
+	Answer(body []byte) bool // the call stands; false if the caller can no longer be told
+	Refuse(wait time.Duration)
+	Fail()
+	Release(cause int) // a call that stood is over
+}
+
+// Orphans takes releases of calls that the core does not know: they stood before this process started.
+type Orphans interface{ Orphan(id string, cause int) }
+
+type attempt struct {
+	number int
+	server uint32
+	peer   *Peer
+	sentAt control.Micros
+	expiry *time.Timer
+}
+
+type call struct {
+	Setup
+	caller   Caller
+	dropDead control.Micros
+	attempts int
+	out      *attempt // attempt that is out, or the one that stands
+	stands   bool
+	stoodAt  control.Micros
+	overdue  *time.Timer
+}
+
+const (
+	backstop    = 15 * time.Millisecond // past a caller's deadline; then the core itself answers
+	rememberFor = 2 * time.Minute       // ids of calls that are over: a release told twice is passed on once
+)
+
+// Core is the module's actor: the only owner of the Controller, the table of calls and their timers. What races (an
+// answer, a withdrawal, a time-out) is settled by the order in which it comes here.
+type Core struct {
+	*actor
+	module  *control.Controller
+	log     logrus.FieldLogger
+	orphans Orphans
+	peers   map[uint32]*Peer
+	calls   map[string]*call
+	pending int // calls that are owed an answer
+	over    map[string]control.Micros
+	swept   control.Micros
+	actions []control.Action
+	busy    bool
+	drained func() // told when nothing is owed
+}
+
+// NewCore starts the module.
+func NewCore(set control.Settings, seed uint64, log logrus.FieldLogger) *Core {
+	c := &Core{actor: newActor(), module: control.New(set, seed), log: log, peers: map[uint32]*Peer{},
+		calls: map[string]*call{}, over: map[string]control.Micros{}}
+	c.post(func() { c.handle(control.Start{}) })
+	return c
+}
+
+// SetOrphans names who is told of releases of unknown calls; it is called before any server is.
+func (c *Core) SetOrphans(o Orphans) { c.post(func() { c.orphans = o }) }
+
+// Open takes in a call.
+func (c *Core) Open(s Setup, caller Caller) {
+	at := Now()
+	c.post(func() { c.open(s, caller, at+control.Micros(s.Left/time.Microsecond)) })
+}
+
+func (c *Core) open(s Setup, caller Caller, dropDead control.Micros) {
+	if c.calls[s.ID] != nil {
+		// The id is in use: a second attempt or a second answer would break the rules of the first call.
+		c.log.WithField("call", s.ID).Warn("set-up with the id of an open call dropped")
+		return
+	}
+	k := &call{Setup: s, caller: caller, dropDead: dropDead}
+	c.calls[s.ID] = k
+	c.pending++
+	delete(c.over, s.ID)
+	k.overdue = c.after(span(dropDead-Now())+backstop, func() { c.overdue(k) })
+	c.handle(control.Call{ID: s.ID, Class: s.Class, Tenant: s.Tenant, Key: s.Key, DropDead: dropDead,
+		FirstChoice: s.FirstChoice, WasCut: s.WasCut})
+}
+
+// overdue guards the rule of one final answer against a module that gave none in time.
+func (c *Core) overdue(k *call) {
+	if c.calls[k.ID] != k || k.stands {
+		return
+	}
+	c.log.WithField("call", k.ID).Error("no decision by the deadline: call failed")
+	c.endAttempt(k, control.TimedOut, true)
+	c.handle(control.Withdrawn{ID: k.ID})
+	c.close(k)
+	k.caller.Fail()
+}
+
+// Withdraw says that the caller of a set-up waits no longer. A call that stands is left alone.
+func (c *Core) Withdraw(id string) {
+	c.post(func() {
+		if k := c.calls[id]; k != nil && !k.stands {
+			c.withdraw(k)
+		}
+	})
+}
+
+func (c *Core) withdraw(k *call) {
+	c.handle(control.Withdrawn{ID: k.ID})
+	c.endAttempt(k, control.Cancelled, true)
+	c.close(k)
+}
+
+// Hangup ends a call from the caller's side, whatever its state. done hears whether it was known.
+func (c *Core) Hangup(id string, cause int, done func(known bool)) {
+	c.post(func() {
+		k := c.calls[id]
+		if k != nil && k.stands {
+			c.release(k, cause)
+		} else if k != nil {
+			c.withdraw(k)
+		}
+		if done != nil {
+			done(k != nil)
+		}
+	})
+}
+
+// release ends a call that stands from this side.
+func (c *Core) release(k *call, cause int) {
+	a := k.out
+	a.peer.release(k.ID, cause)
+	c.close(k)
+	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: control.Cancelled,
+		Took: Now() - a.sentAt, Settled: true})
+}
+
+// close takes a call off the table.
+func (c *Core) close(k *call) {
+	if !k.stands {
+		c.pending--
+	}
+	k.overdue.Stop()
+	delete(c.calls, k.ID)
+	now := Now()
+	c.over[k.ID] = now
+	if now-c.swept > control.Micros(rememberFor/time.Microsecond)/4 {
+		c.swept = now
+		for id, at := range c.over {
+			if now-at > control.Micros(rememberFor/time.Microsecond) {
+				delete(c.over, id)
+			}
+		}
+	}
+	if c.pending == 0 && c.drained != nil {
+		c.drained()
+	}
+}
+
+// Drained calls f once no caller is owed an answer.
+func (c *Core) Drained(f func()) {
+	c.post(func() {
+		c.drained = f
+		if c.pending == 0 {
+			f()
+		}
+	})
+}
+
+// endAttempt gives up the attempt that is out, if any, and reports its end.
+func (c *Core) endAttempt(k *call, code control.Code, settled bool) {
+	a := k.out
+	if a == nil {
+		return
+	}
+	k.out = nil
+	a.expiry.Stop()
+	a.peer.cancel(ref{k.ID, a.number})
+	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: code,
+		Took: Now() - a.sentAt, Settled: settled})
+}
+
+// handle gives the module one event and carries out its actions. Events that the actions bring about are posted, so
+// the module is never entered twice.
+func (c *Core) handle(e control.Event) {
+	c.actions = append(c.actions, c.ask(e)...) // the module reuses its slice
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.actions) > 0 {
+		a := c.actions[0]
+		c.actions = c.actions[1:]
+		c.act(a)
+	}
+	c.busy = false
+}
+
+// ask guards against a panic in the module: one bad event must not end all calls. The overdue timer answers the call.
+func (c *Core) ask(e control.Event) (actions []control.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.WithField("event", fmt.Sprintf("%T", e)).Errorf("module panicked: %v", p)
+		}
+	}()
+	return c.module.Handle(Now(), e)
+}
+
+func (c *Core) act(a control.Action) {
+	k := c.calls[a.ID]
+	if k != nil && k.stands {
+		k = nil
+	}
+	switch a.Do {
+	case control.Send:
+		if k != nil {
+			c.send(k, a)
+		}
+	case control.Refuse:
+		if k != nil {
+			c.close(k)
+			k.caller.Refuse(span(a.Wait))
+		}
+	case control.Fail:
+		if k != nil {
+			c.close(k)
+			k.caller.Fail()
+		}
+	case control.Cancel:
+		if k != nil && k.out != nil && k.out.number == a.Attempt {
+			c.endAttempt(k, control.Cancelled, false)
+		}
+	case control.Defer:
+		c.after(span(a.At-Now()), func() { c.handle(control.Timer{Key: a.Key}) })
+	case control.Watch: // the list comes by itself
+	case control.Note:
+		c.log.Info(a.Text)
+	}
+}
+
+func (c *Core) send(k *call, a control.Action) {
+	now := Now()
+	at := &attempt{number: k.attempts, server: a.Server, peer: c.peers[a.Server], sentAt: now}
+	k.attempts++
+	left := k.dropDead - now
+	if a.Wait > 0 {
+		left = min(left, a.Wait)
+	}
+	if at.peer == nil || left <= 0 || k.out != nil {
+		// Not on the list any more, too late, or a second copy: it never leaves.
+		c.post(func() {
+			c.handle(control.Resolved{ID: k.ID, Attempt: at.number, Server: a.Server, Code: control.NotSent})
+		})
+		return
+	}
+	k.out = at
+	at.expiry = c.after(span(left), func() {
+		if c.calls[k.ID] == k && k.out == at && !k.stands {
+			c.endAttempt(k, control.TimedOut, false)
+		}
+	})
+	at.peer.setup(Attempt{ref: ref{k.ID, at.number}, Class: k.Class, Key: k.Key, Body: k.Body,
+		Deadline: now + left})
+}
+
+// attemptOf gives the call whose attempt is out and not yet ended, or nil: an attempt ends once.
+func (c *Core) attemptOf(r ref) *call {
+	k := c.calls[r.id]
+	if k == nil || k.stands || k.out == nil || k.out.number != r.attempt {
+		return nil
+	}
+	return k
+}
+
+// answered: a server says that the call stands.
+func (c *Core) answered(p *Peer, r ref, body []byte) {
+	k := c.attemptOf(r)
+	if k == nil {
+		if k := c.calls[r.id]; k == nil || !k.stands || k.out.number != r.attempt {
+			p.release(r.id, CauseNormal) // too late: the set-up had been given up
+		}
+		return
+	}
+	a := k.out
+	a.expiry.Stop()
+	k.overdue.Stop()
+	k.stands, k.stoodAt = true, Now()
+	c.pending--
+	told := k.caller.Answer(body)
+	c.handle(control.Opened{ID: k.ID, Attempt: a.number, Server: a.server, Took: k.stoodAt - a.sentAt})
+	if !told && c.calls[k.ID] == k {
+		c.release(k, CauseNormal)
+	}
+	if c.pending == 0 && c.drained != nil {
+		c.drained()
+	}
+}
+
+// Outcome is the end of an attempt as the wire saw it.
+type Outcome struct {
+	Code   control.Code
+	Reason int
+	Report []float64
+}
+
+// failed: an attempt ended without an answer.
+func (c *Core) failed(r ref, o Outcome) {
+	k := c.attemptOf(r)
+	if k == nil {
+		return
+	}
+	a := k.out
+	k.out = nil
+	a.expiry.Stop()
+	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: o.Code,
+		Took: Now() - a.sentAt, Reason: o.Reason, Report: o.Report})
+}
+
+// released: a server says that a call which stood is over. One told twice is passed on once.
+func (c *Core) released(p *Peer, id string, cause int, report []float64) {
+	k := c.calls[id]
+	if k == nil || !k.stands {
+		if report != nil {
+			c.handle(control.Status{Server: p.server, Code: control.OK, Report: report})
+		}
+		if k == nil && c.over[id] == 0 && c.orphans != nil {
+			c.over[id] = Now()
+			c.orphans.Orphan(id, cause)
+		}
+		return
+	}
+	code := control.OK
+	if cause != CauseNormal {
+		code = control.Cut
+	}
+	c.finish(k, code, cause, report)
+}
+
+// finish ends a call that stood from the server's side.
+func (c *Core) finish(k *call, code control.Code, cause int, report []float64) {
+	a := k.out
+	c.close(k)
+	k.caller.Release(cause)
+	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: code,
+		Took: Now() - a.sentAt, Settled: true, Report: report})
+}
+
+// died: the process behind a peer is gone, and with it the calls that stood there since before a time.
+func (c *Core) died(p *Peer, before control.Micros) {
+	for _, k := range c.calls {
+		if k.stands && k.out.peer == p && k.stoodAt < before {
+			c.finish(k, control.Cut, CauseFailed, nil)
+		}
+	}
+}
+
+// status: free agents and the like, told unasked.
+func (c *Core) status(p *Peer, report []float64) {
+	c.handle(control.Status{Server: p.server, Code: control.OK, Report: report})
+}
--- /dev/null
+++ b/internal/routing/list.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/control"
+)
+
+// Host is one server as a list names it.
+type Host struct {
+	Name  string
+	Addr  string
+	Cell  int
+	State control.State
+	Since control.Micros
+}
+
+// Update is one change of the list, or where Whole is set all of it.
+type Update struct {
+	Whole bool
+	Hosts []Host
+}
+
+// List is the actor that owns the list of servers and their peers. Buses and inventories feed it.
+type List struct {
+	*actor
+	core   *Core
+	dialer Dialer
+	log    logrus.FieldLogger
+	hosts  map[string]*listed
+	taken  map[uint32]string
+}
+
+type listed struct {
+	Host
+	id   uint32
+	peer *Peer
+}
+
+// NewList makes an empty list whose changes go to a core.
+func NewList(core *Core, dialer Dialer, log logrus.FieldLogger) *List {
+	return &List{actor: newActor(), core: core, dialer: dialer, log: log, hosts: map[string]*listed{},
+		taken: map[uint32]string{}}
+}
+
+// Apply takes a change. done, if not nil, is called when the module has it.
+func (l *List) Apply(u Update, done func()) {
+	l.post(func() {
+		l.apply(u)
+		if done != nil {
+			l.core.post(done)
+		}
+	})
+}
+
+func (l *List) apply(u Update) {
+	entries := make([]control.Entry, 0, len(u.Hosts))
+	named := map[string]bool{}
+	for _, h := range u.Hosts {
+		named[h.Name] = true
+		if e, ok := l.host(h); ok {
+			entries = append(entries, e)
+		}
+	}
+	if u.Whole {
+		for name, old := range l.hosts {
+			if !named[name] {
+				l.drop(old)
+			}
+		}
+	}
+	peers := map[uint32]*Peer{}
+	for _, h := range l.hosts {
+		peers[h.id] = h.peer
+	}
+	l.core.post(func() {
+		l.core.peers = peers
+		l.core.handle(control.List{Delta: !u.Whole, Entries: entries})
+	})
+}
+
+// host takes one entry. The peer hears of its state before the module does, so that nothing stale slips out between.
+func (l *List) host(h Host) (control.Entry, bool) {
+	old := l.hosts[h.Name]
+	if h.State == control.Gone {
+		if old == nil {
+			return control.Entry{}, false
+		}
+		l.drop(old)
+		return control.Entry{Server: old.id, Cell: h.Cell, State: control.Gone, Since: h.Since}, true
+	}
+	if old != nil && old.Addr != h.Addr { // moved: what was known of the old address is void
+		l.drop(old)
+		old = nil
+	}
+	if old == nil {
+		id := l.number(h.Name)
+		log := l.log.WithFields(logrus.Fields{"server": h.Name, "address": h.Addr})
+		old = &listed{id: id, peer: newPeer(l.core, id, h.Addr, l.dialer, log)}
+		l.hosts[h.Name] = old
+	} else if h.Since > old.Since {
+		// A new process under the same id: calls that stood at the old one are over.
+		p := old.peer
+		l.core.post(func() { l.core.died(p, h.Since) })
+	}
+	old.Host = h
+	old.peer.set(h.State)
+	return control.Entry{Server: old.id, Cell: h.Cell, State: h.State, Since: h.Since}, true
+}
+
+func (l *List) drop(h *listed) {
+	delete(l.hosts, h.Name)
+	h.peer.set(control.Gone)
+}
+
+// number gives a server the number that its name holds (s-00c41f7a), else one made from the name. It stays the same
+// for as long as this process lives.
+func (l *List) number(name string) uint32 {
+	_, digits, _ := strings.Cut(name, "-")
+	n, err := strconv.ParseUint(digits, 16, 32)
+	id := uint32(n)
+	if err != nil {
+		h := fnv.New32a()
+		h.Write([]byte(name))
+		id = h.Sum32()
+	}
+	for l.taken[id] != "" && l.taken[id] != name {
+		id++
+	}
+	l.taken[id] = name
+	return id
+}
--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,172 @@
+// Package transport moves bytes: listeners, dialling, connections with bounded write queues, and the budget of
+// descriptors. It knows no message.
+package transport
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Limits of one connection.
+const (
+	MaxQueued    = 1 << 20                 // bytes that wait to be written; beyond it the connection is given up
+	writeTimeout = 1500 * time.Millisecond // one write may take so long: guards against a peer that went silent
+)
+
+// The ways in which a Conn ends from this side.
+var (
+	ErrClosed   = errors.New("connection is closed")
+	ErrOverflow = errors.New("write queue is full")
+)
+
+// A Packet is one message to be written.
+type Packet struct {
+	Data []byte
+	// Still is asked just before the first byte is written; the packet is dropped if it gives false. What was true
+	// when the packet was queued may no longer be.
+	Still func() bool
+	// Done hears whether the packet went out whole: nil, ErrDropped or the fault of the connection.
+	Done func(error)
+}
+
+// ErrDropped is told to a packet's Done when its Still gave false.
+var ErrDropped = errors.New("packet dropped before its first byte")
+
+func (p *Packet) done(err error) {
+	if p.Done != nil {
+		p.Done(err)
+	}
+}
+
+// Conn writes packets in order from a goroutine of its own, so that no caller ever waits for the other side. Reading
+// is left to its owner.
+type Conn struct {
+	net.Conn
+	mu     sync.Mutex
+	queue  []Packet
+	bytes  int
+	ending bool  // close once the queue is written
+	err    error // set when closed
+	wake   chan struct{}
+	gone   chan struct{}
+	onGone func()
+}
+
+// NewConn starts the writer of a connection. onGone, if not nil, is called once after the connection is closed.
+func NewConn(nc net.Conn, onGone func()) *Conn {
+	c := &Conn{Conn: nc, wake: make(chan struct{}, 1), gone: make(chan struct{}), onGone: onGone}
+	go c.write()
+	return c
+}
+
+// Send queues a packet. It never blocks.
+func (c *Conn) Send(p Packet) error {
+	c.mu.Lock()
+	err := c.err
+	switch {
+	case err != nil:
+	case c.ending:
+		err = ErrClosed
+	case c.bytes+len(p.Data) > MaxQueued:
+		err = ErrOverflow
+	default:
+		c.queue = append(c.queue, p)
+		c.bytes += len(p.Data)
+	}
+	c.mu.Unlock()
+	if err == ErrOverflow {
+		c.fail(err)
+	}
+	if err == nil {
+		c.poke()
+	}
+	return err
+}
+
+func (c *Conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Conn) write() {
+	for {
+		select {
+		case <-c.wake:
+		case <-c.gone:
+		}
+		for {
+			c.mu.Lock()
+			if c.err != nil {
+				left, err := c.queue, c.err
+				c.queue = nil
+				c.mu.Unlock()
+				for i := range left {
+					left[i].done(err)
+				}
+				return
+			}
+			if len(c.queue) == 0 {
+				ending := c.ending
+				c.mu.Unlock()
+				if ending {
+					c.fail(ErrClosed)
+					continue
+				}
+				break
+			}
+			p := c.queue[0]
+			c.queue = c.queue[1:]
+			c.bytes -= len(p.Data)
+			c.mu.Unlock()
+			if p.Still != nil && !p.Still() {
+				p.done(ErrDropped)
+				continue
+			}
+			c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_, err := c.Conn.Write(p.Data)
+			p.done(err)
+			if err != nil {
+				c.fail(err)
+			}
+		}
+	}
+}
+
+// fail closes the connection at once.
+func (c *Conn) fail(err error) {
+	c.mu.Lock()
+	first := c.err == nil
+	if first {
+		c.err = err
+	}
+	c.mu.Unlock()
+	if !first {
+		return
+	}
+	c.Conn.Close()
+	close(c.gone)
+	if c.onGone != nil {
+		c.onGone()
+	}
+}
+
+// Close ends the connection at once; what is queued is not written.
+func (c *Conn) Close() error {
+	c.fail(ErrClosed)
+	return nil
+}
+
+// Finish closes the connection once its queue is written.
+func (c *Conn) Finish() {
+	c.mu.Lock()
+	c.ending = true
+	c.mu.Unlock()
+	c.poke()
+}
+
+// Gone is closed when the connection is.
+func (c *Conn) Gone() <-chan struct{} { return c.gone }
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,121 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ErrBudget says that no descriptor is to spare.
+var ErrBudget = errors.New("descriptor budget is used up")
+
+// Budget counts descriptors, so that the process stays under its limit. The last part is kept for servers: callers
+// that come in great number must not keep the gatekeeper from dialling.
+type Budget struct {
+	max, reserve int64
+	used         atomic.Int64
+}
+
+// NewBudget allows max descriptors in all, of which callers may not take the last reserve.
+func NewBudget(max, reserve int) *Budget { return &Budget{max: int64(max), reserve: int64(reserve)} }
+
+func (b *Budget) take(limit int64) bool {
+	if b.used.Add(1) > limit {
+		b.used.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Used is the number of descriptors held.
+func (b *Budget) Used() int { return int(b.used.Load()) }
+
+func (b *Budget) give() { b.used.Add(-1) }
+
+// Dial opens a TCP connection within a time.
+func (b *Budget) Dial(ctx context.Context, addr string, timeout time.Duration) (*Conn, error) {
+	if !b.take(b.max) {
+		return nil, ErrBudget
+	}
+	d := net.Dialer{Timeout: timeout}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		b.give()
+		return nil, err
+	}
+	return NewConn(nc, b.give), nil
+}
+
+// Listener takes in connections and hands each to a handler in a goroutine of its own.
+type Listener struct {
+	net.Listener
+	budget *Budget
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+}
+
+// Listen binds a TCP address.
+func Listen(addr string, budget *Budget) (*Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: l, budget: budget, conns: map[*Conn]struct{}{}}, nil
+}
+
+// Serve accepts until the listener is closed. Over the budget a new connection is closed at once; the others live.
+func (l *Listener) Serve(handle func(*Conn)) {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors or memory for the moment
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		if !l.budget.take(l.budget.max - l.budget.reserve) {
+			nc.Close()
+			continue
+		}
+		var c *Conn
+		c = NewConn(nc, l.budget.give)
+		l.mu.Lock()
+		l.conns[c] = struct{}{}
+		l.mu.Unlock()
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			handle(c)
+			c.Finish()
+			l.mu.Lock()
+			delete(l.conns, c)
+			l.mu.Unlock()
+		}()
+	}
+}
+
+// Finish closes every connection that is open once its queue is written, and waits for that, but not longer than a time.
+func (l *Listener) Finish(limit time.Duration) {
+	l.mu.Lock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	timeout := time.After(limit)
+	for _, c := range conns {
+		c.Finish()
+	}
+	for _, c := range conns {
+		select {
+		case <-c.Gone():
+		case <-timeout:
+			return
+		}
+	}
+}
