SIP front: transactions, dialogs and a back-to-back user agent over UDP and TCP

The four machines of RFC 3261, 17 (with RFC 6026's Accepted), dialogs with route sets, CANCEL/487, ACK, BYE, OPTIONS, Retry-After, deadline from the class or Expires. Tested on stand-ins written from the specification (siptest). Seen while testing: the 513 to an oversized TCP message was lost, because the connection was closed with unread input and so reset. transport.Conn now half-closes and reads on for 200 ms.

--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -25,7 +25,7 @@
 // Core is the part of the routing core that a front needs.
 type Core interface {
 	Open(routing.Setup, routing.Caller)
-	Withdraw(id string)
+	Withdraw(id string, done func(inTime bool))
 	Hangup(id string, cause int, done func(known bool))
 }
 
@@ -122,7 +122,7 @@
 	c.open = nil
 	c.mu.Unlock()
 	for id := range open {
-		f.core.Withdraw(id)
+		f.core.Withdraw(id, nil)
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/sip/agent_test.go
@@ -0,0 +1,382 @@
+package sip_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/control"
+	"beammux/internal/protocol/sip"
+	. "beammux/internal/protocol/sip/siptest"
+	"beammux/internal/routing"
+	"beammux/internal/transport"
+)
+
+// Short timers keep the tests quick; their proportions are the RFC's.
+var quick = sip.Timers{T1: 20 * time.Millisecond, T2: 160 * time.Millisecond, T4: 200 * time.Millisecond}
+
+type bench struct {
+	agent *sip.Agent
+	core  *routing.Core
+	list  *routing.List
+}
+
+func settings(deadline time.Duration) control.Settings {
+	d := control.Micros(deadline / time.Microsecond)
+	return control.Settings{Fronts: 1, Here: -1, AttemptsCap: 5, Cancel: true, RetryAfter: true, MaxRetryAfter: 2e6,
+		ReleaseGuard: 300000, ResendGap: 500000, FallMultiple: 2, FallTime: 1e6, StartCapacity: 0.33, WarmWithin: 15e6,
+		Classes: []control.Class{{Aim: 1500000, Deadline: d, Worth: 1, LateWorth: 0.25}}}
+}
+
+func newBench(t *testing.T, deadline time.Duration, servers ...routing.Host) *bench {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	set := settings(deadline)
+	core := routing.NewCore(set, 1, log)
+	agent := sip.NewAgent(core, sip.Options{Classes: []string{"menu-view"}, Deadlines: []control.Micros{set.Classes[0].Deadline},
+		DefaultClass: "menu-view", Timers: quick, DialTimeout: time.Second, Budget: transport.NewBudget(100, 10), Log: log})
+	if err := agent.Listen("127.0.0.1:0", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	b := &bench{agent, core, routing.NewList(core, agent, log)}
+	b.apply(routing.Update{Whole: true, Hosts: servers})
+	return b
+}
+
+func (b *bench) apply(u routing.Update) {
+	done := make(chan struct{})
+	b.list.Apply(u, func() { close(done) })
+	<-done
+}
+
+func host(name, uri string, cell int) routing.Host {
+	return routing.Host{Name: name, Addr: uri, Cell: cell, State: control.Ready}
+}
+
+// answering is a server that answers every set-up.
+func answering(p *Party, e Entry) {
+	switch {
+	case Is("INVITE")(e.Msg):
+		e.Back(p.Reply(e.Msg, 100, "Trying", ""))
+		e.Back(p.Reply(e.Msg, 200, "OK", "answer to "+string(e.Msg.Body)))
+	case Is("BYE")(e.Msg), Is("CANCEL")(e.Msg):
+		e.Back(p.Reply(e.Msg, 200, "OK", ""))
+	}
+}
+
+// refusing turns every set-up away.
+func refusing(status int) func(*Party, Entry) {
+	return func(p *Party, e Entry) {
+		if Is("INVITE")(e.Msg) {
+			e.Back(p.Reply(e.Msg, status, "No", ""))
+		}
+	}
+}
+
+// silent takes set-ups and says no more than Trying.
+func silent(p *Party, e Entry) {
+	if Is("INVITE")(e.Msg) {
+		e.Back(p.Reply(e.Msg, 100, "Trying", ""))
+	}
+	if Is("CANCEL")(e.Msg) {
+		e.Back(p.Reply(e.Msg, 200, "OK", ""))
+	}
+}
+
+func each(t *testing.T, f func(t *testing.T, proto string)) {
+	for _, proto := range []string{"UDP", "TCP"} {
+		t.Run(proto, func(t *testing.T) { f(t, proto) })
+	}
+}
+
+// One whole path: set-up, answer with its body, ACK, release by the caller, each passed on once.
+func TestCallStandsAndCallerReleases(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, answering)
+		b := newBench(t, 2*time.Second, host("s-1", server.URI(proto), 0))
+		caller := New(t, nil)
+		invite := caller.Invite(proto, "abc", "4711", "offer")
+		send := caller.Send(proto, b.agent.Addr(proto), invite)
+		ok := caller.Wait("answer", Status(200, "INVITE")).Msg
+		if string(ok.Body) != "answer to offer" {
+			t.Errorf("body %q", ok.Body)
+		}
+		send(Within(invite, ok, "ACK", 1))
+		server.Wait("ACK", Is("ACK"))
+		send(Within(invite, ok, "BYE", 2))
+		caller.Wait("200 to BYE", Status(200, "BYE"))
+		server.Wait("BYE", Is("BYE"))
+		send(Within(invite, ok, "BYE", 3).Set("Via", invite.Get("Via")+"again"))
+		caller.Wait("481", Status(481, "BYE"))
+	})
+}
+
+// A server's BYE ends the call towards the caller by one BYE.
+func TestServerReleases(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, answering)
+		b := newBench(t, 2*time.Second, host("s-1", server.URI(proto), 0))
+		caller := New(t, func(p *Party, e Entry) {
+			if Is("BYE")(e.Msg) {
+				e.Back(p.Reply(e.Msg, 200, "OK", ""))
+			}
+		})
+		invite := caller.Invite(proto, "abc", "4711", "offer")
+		send := caller.Send(proto, b.agent.Addr(proto), invite)
+		send(Within(invite, caller.Wait("answer", Status(200, "INVITE")).Msg, "ACK", 1))
+		in := server.Wait("INVITE", Is("INVITE"))
+		server.Wait("ACK", Is("ACK"))
+		in.Back(Bye(in.Msg, server.Reply(in.Msg, 200, "OK", ""), 16))
+		bye := caller.Wait("BYE", Is("BYE")).Msg
+		if bye.Get("Reason") != "Q.850;cause=16" {
+			t.Errorf("Reason %q", bye.Get("Reason"))
+		}
+		server.Wait("200 to BYE", Status(200, "BYE"))
+	})
+}
+
+// Guards against a UDP retransmission becoming a second attempt: its transaction absorbs it.
+func TestRetransmissionIsNoSecondAttempt(t *testing.T) {
+	server := New(t, silent)
+	b := newBench(t, 400*time.Millisecond, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	invite := caller.Invite("UDP", "abc", "4711", "")
+	send := caller.Send("UDP", b.agent.Addr("UDP"), invite)
+	for range 5 {
+		send(invite)
+	}
+	caller.Wait("final answer", func(m *sip.Message) bool { return m.Status >= 300 })
+	if n := server.Count(Is("INVITE")); n != 1 {
+		t.Errorf("%d INVITEs at the server, want 1", n)
+	}
+}
+
+// A server that has no room is passed over; with all gated the caller is refused at once and told when to return.
+func TestRefusalWithRetryAfter(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, refusing(503))
+		b := newBench(t, 5*time.Second, host("s-1", server.URI(proto), 0))
+		caller := New(t, nil)
+		began := time.Now()
+		send := caller.Send(proto, b.agent.Addr(proto), caller.Invite(proto, "abc", "4711", ""))
+		no := caller.Wait("503", Status(503, "INVITE")).Msg
+		if time.Since(began) > time.Second {
+			t.Errorf("refused after %v, want at once", time.Since(began))
+		}
+		if w := no.Get("Retry-After"); w != "1" && w != "2" {
+			t.Errorf("Retry-After %q", w)
+		}
+		server.Wait("ACK to the error", Is("ACK"))
+		send(Within(caller.Invite(proto, "abc", "4711", ""), no, "ACK", 1).Set("Via", caller.Invite(proto, "abc", "4711", "").Get("Via")))
+	})
+}
+
+// The deadline is that of the class, or Expires if shorter.
+func TestDeadline(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, silent)
+		b := newBench(t, 300*time.Millisecond, host("s-1", server.URI(proto), 0))
+		caller := New(t, nil)
+		began := time.Now()
+		caller.Send(proto, b.agent.Addr(proto), caller.Invite(proto, "abc", "4711", "").Set("Expires", "60"))
+		caller.Wait("final answer", func(m *sip.Message) bool { return m.Status >= 300 })
+		if d := time.Since(began); d < 290*time.Millisecond || d > time.Second {
+			t.Errorf("answered after %v, want 300 ms", d)
+		}
+		server.Wait("CANCEL", Is("CANCEL"))
+	})
+}
+
+// CANCEL before the answer: 200 to it, 487 to the INVITE, and CANCEL to the server.
+func TestCancel(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, silent)
+		b := newBench(t, 5*time.Second, host("s-1", server.URI(proto), 0))
+		caller := New(t, nil)
+		invite := caller.Invite(proto, "abc", "4711", "")
+		send := caller.Send(proto, b.agent.Addr(proto), invite)
+		server.Wait("INVITE", Is("INVITE"))
+		send(sip.Request("CANCEL", invite.URI).Set("Via", invite.Get("Via")).Set("From", invite.Get("From")).
+			Set("To", invite.Get("To")).Set("Call-ID", "abc").Set("CSeq", "1 CANCEL"))
+		caller.Wait("200 to CANCEL", Status(200, "CANCEL"))
+		caller.Wait("487", Status(487, "INVITE"))
+		server.Wait("CANCEL", Is("CANCEL"))
+	})
+}
+
+// Guards against a call that nobody holds: an answer that crosses the CANCEL is confirmed and released.
+func TestLateAnswerIsAckedAndReleased(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, func(p *Party, e Entry) {
+			switch {
+			case Is("INVITE")(e.Msg):
+				e.Back(p.Reply(e.Msg, 180, "Ringing", ""))
+			case Is("CANCEL")(e.Msg):
+				e.Back(p.Reply(e.Msg, 200, "OK", ""))
+				e.Back(p.Reply(p.Wait("INVITE", Is("INVITE")).Msg, 200, "OK", "late"))
+			}
+		})
+		b := newBench(t, 200*time.Millisecond, host("s-1", server.URI(proto), 0))
+		caller := New(t, nil)
+		caller.Send(proto, b.agent.Addr(proto), caller.Invite(proto, "abc", "4711", ""))
+		caller.Wait("final answer", func(m *sip.Message) bool { return m.Status >= 300 })
+		server.Wait("ACK", Is("ACK"))
+		server.Wait("BYE", Is("BYE"))
+		if n := caller.Count(Status(200, "INVITE")); n != 0 {
+			t.Errorf("the caller got %d answers after its refusal", n)
+		}
+	})
+}
+
+// A set-up cut by a server that stops gets one final answer; a standing call one BYE.
+func TestServerDies(t *testing.T) {
+	first := true
+	server := New(t, func(p *Party, e Entry) {
+		if !Is("INVITE")(e.Msg) {
+			return
+		}
+		if first {
+			first = false
+			e.Back(p.Reply(e.Msg, 200, "OK", ""))
+			return
+		}
+		e.Back(p.Reply(e.Msg, 100, "Trying", ""))
+	})
+	b := newBench(t, 1500*time.Millisecond, host("s-1", server.URI("TCP"), 0))
+	caller := New(t, nil)
+	one := caller.Invite("TCP", "one", "1", "")
+	send := caller.Send("TCP", b.agent.Addr("TCP"), one)
+	send(Within(one, caller.Wait("answer", Status(200, "INVITE")).Msg, "ACK", 1))
+	server.Wait("ACK", Is("ACK"))
+	send(caller.Invite("TCP", "two", "2", ""))
+	server.Wait("second INVITE", func(m *sip.Message) bool { return Is("INVITE")(m) && m.URI[4:5] == "2" })
+	b.apply(routing.Update{Hosts: []routing.Host{{Name: "s-1", Addr: server.URI("TCP"), State: control.Draining}}})
+	server.Stop()
+	caller.Wait("final answer", func(m *sip.Message) bool { return m.Status >= 300 && m.Get("Call-ID") == "two" })
+	caller.Wait("BYE", func(m *sip.Message) bool { return Is("BYE")(m) && m.Get("Call-ID") == "one" })
+	b.apply(routing.Update{Hosts: []routing.Host{{Name: "s-1", State: control.Gone}}})
+	barrier := make(chan struct{})
+	b.agent.Post(func() { close(barrier) })
+	<-barrier
+	byes := map[string]bool{}
+	for _, e := range caller.Log() {
+		if Is("BYE")(e.Msg) {
+			byes[e.Msg.Get("CSeq")] = true // a retransmission has the same number
+		}
+	}
+	if len(byes) != 1 {
+		t.Errorf("%d BYEs, want 1", len(byes))
+	}
+	if n := caller.Count(func(m *sip.Message) bool { return m.Status >= 200 && m.Get("Call-ID") == "two" }); n != 1 {
+		t.Errorf("%d final answers, want 1", n)
+	}
+}
+
+// Bad input gets the protocol's error; only its own connection closes.
+func TestBadInput(t *testing.T) {
+	server := New(t, answering)
+	b := newBench(t, 2*time.Second, host("s-1", server.URI("TCP"), 0))
+	for _, row := range []struct {
+		name   string
+		status int
+		change func(*sip.Message)
+	}{
+		{"no From tag", 400, func(m *sip.Message) { m.Set("From", "<sip:x@y>") }},
+		{"CSeq of another method", 400, func(m *sip.Message) { m.Set("CSeq", "1 BYE") }},
+		{"unknown method", 405, func(m *sip.Message) { m.Method = "PUBLISH"; m.Set("CSeq", "1 PUBLISH") }},
+		{"unknown dialog", 481, func(m *sip.Message) { m.Method = "BYE"; m.Set("CSeq", "1 BYE") }},
+		{"too long", 513, func(m *sip.Message) { m.Body = make([]byte, sip.MaxMessage) }},
+		{"other scheme", 416, func(m *sip.Message) { m.URI = "tel:1234" }},
+		{"extension", 420, func(m *sip.Message) { m.Set("Require", "100rel") }},
+		{"bad Expires", 400, func(m *sip.Message) { m.Set("Expires", "soon") }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			each(t, func(t *testing.T, proto string) {
+				caller := New(t, nil)
+				m := caller.Invite(proto, fmt.Sprintf("bad%d%s", row.status, proto), "1", "")
+				row.change(m)
+				caller.Send(proto, b.agent.Addr(proto), m)
+				caller.Wait(fmt.Sprint(row.status), func(m *sip.Message) bool { return m.Status == row.status })
+			})
+		})
+	}
+	caller := New(t, nil)
+	caller.Send("TCP", b.agent.Addr("TCP"), caller.Invite("TCP", "good", "1", "x"))
+	caller.Wait("answer on a good connection", Status(200, "INVITE"))
+}
+
+func TestOptions(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		b := newBench(t, time.Second)
+		caller := New(t, nil)
+		m := caller.Invite(proto, "opt", "1", "").Set("CSeq", "1 OPTIONS")
+		m.Method = "OPTIONS"
+		caller.Send(proto, b.agent.Addr(proto), m)
+		if ok := caller.Wait("200", Status(200, "OPTIONS")).Msg; ok.Get("Allow") == "" {
+			t.Error("no Allow")
+		}
+	})
+}
+
+// Without an ACK the 2xx is repeated, and then the call is released at both sides.
+func TestNoAck(t *testing.T) {
+	server := New(t, answering)
+	b := newBench(t, time.Second, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	caller.Send("UDP", b.agent.Addr("UDP"), caller.Invite("UDP", "abc", "4711", ""))
+	server.Wait("BYE", Is("BYE"))
+	caller.Wait("BYE", Is("BYE"))
+	if n := caller.Count(Status(200, "INVITE")); n < 3 {
+		t.Errorf("2xx sent %d times, want it repeated", n)
+	}
+}
+
+// A forked answer stands once: the second is confirmed and released.
+func TestSecondForkIsReleased(t *testing.T) {
+	server := New(t, func(p *Party, e Entry) {
+		if Is("INVITE")(e.Msg) {
+			e.Back(p.Reply(e.Msg, 200, "OK", "first"))
+			second := p.Reply(e.Msg, 200, "OK", "second")
+			e.Back(second.Set("To", e.Msg.Get("To")+";tag=other"))
+		}
+		if Is("BYE")(e.Msg) {
+			e.Back(p.Reply(e.Msg, 200, "OK", ""))
+		}
+	})
+	b := newBench(t, time.Second, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	invite := caller.Invite("UDP", "abc", "4711", "")
+	send := caller.Send("UDP", b.agent.Addr("UDP"), invite)
+	send(Within(invite, caller.Wait("answer", Status(200, "INVITE")).Msg, "ACK", 1))
+	bye := server.Wait("BYE to the second fork", Is("BYE")).Msg
+	if to := bye.Get("To"); to[len(to)-5:] != "other" {
+		t.Errorf("BYE went to %q", to)
+	}
+}
+
+// A route set is kept: the ACK and the BYE name it.
+func TestRouteSet(t *testing.T) {
+	proxy := ""
+	server := New(t, func(p *Party, e Entry) {
+		if Is("INVITE")(e.Msg) {
+			proxy = "<sip:" + p.Addr("UDP") + ";lr>"
+			r := p.Reply(e.Msg, 200, "OK", "")
+			r.Set("Contact", "<sip:behind@192.0.2.1>") // never reached but through the route
+			r.Header["Record-Route"] = []string{"<sip:far@192.0.2.9;lr>, " + proxy}
+			e.Back(r)
+		}
+	})
+	b := newBench(t, time.Second, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	caller.Send("UDP", b.agent.Addr("UDP"), caller.Invite("UDP", "abc", "4711", ""))
+	ack := server.Wait("ACK", Is("ACK")).Msg
+	want := []string{proxy, "<sip:far@192.0.2.9;lr>"}
+	if got := ack.Header["Route"]; len(got) != 2 || got[0] != want[0] || got[1] != want[1] || ack.URI != "sip:behind@192.0.2.1" {
+		t.Errorf("ACK to %s by %v, want %v", ack.URI, got, want)
+	}
+}
--- /dev/null
+++ b/internal/protocol/sip/dialog.go
@@ -0,0 +1,151 @@
+package sip
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// dialog is one end of a call that stands (RFC 3261, 12). Its exported fields are what the store keeps of it.
+type dialog struct {
+	ID        string // the core's id of the call
+	Server    bool   // towards a server: this end sent the INVITE
+	CallID    string
+	Local     string // From of requests sent in it, with tag
+	Remote    string // To of requests sent in it, with tag
+	LocalSeq  uint32
+	RemoteSeq uint32
+	Target    string   // remote target: the other side's Contact
+	Routes    []string // route set, nearest first
+	InviteSeq uint32
+	Proto     string // transport of the set-up
+
+	flow  flow
+	line  *line // of a server's dialog; nil after a restart
+	call  *uasCall
+	ended bool
+}
+
+func (d *dialog) key() string { return dialogKey(d.CallID, tag(d.Local), tag(d.Remote)) }
+
+func dialogKey(callID, local, remote string) string { return callID + "|" + local + "|" + remote }
+
+// token makes a random word for tags, branches and ids.
+func token(bytes int) string {
+	b := make([]byte, bytes)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+func cseq(n uint32, method string) string { return fmt.Sprintf("%d %s", n, method) }
+
+// contactOf gives the URI of a message's Contact, else what stands in otherwise.
+func contactOf(m *Message, otherwise string) string {
+	if all := m.list("Contact"); len(all) > 0 {
+		if a, err := parseAddress(all[0]); err == nil {
+			return a.uri
+		}
+	}
+	return otherwise
+}
+
+// fromRequest makes the dialog that a 2xx to an INVITE opens at the called side (12.1.1).
+func fromRequest(req *Message, id, localTag, proto string) *dialog {
+	number, _, _ := req.CSeq()
+	from, _ := parseAddress(req.Get("From"))
+	return &dialog{ID: id, CallID: req.Get("Call-ID"), Local: req.Get("To") + ";tag=" + localTag,
+		Remote: req.Get("From"), RemoteSeq: number, InviteSeq: number, Target: contactOf(req, from.uri),
+		Routes: req.list("Record-Route"), Proto: proto}
+}
+
+// fromResponse makes the dialog that a 2xx opens at the calling side (12.1.2): the route set is reversed.
+func fromResponse(m *Message, id, proto string) *dialog {
+	number, _, _ := m.CSeq()
+	to, _ := parseAddress(m.Get("To"))
+	routes := m.list("Record-Route")
+	for i, j := 0, len(routes)-1; i < j; i, j = i+1, j-1 {
+		routes[i], routes[j] = routes[j], routes[i]
+	}
+	return &dialog{ID: id, Server: true, CallID: m.Get("Call-ID"), Local: m.Get("From"), Remote: m.Get("To"),
+		LocalSeq: number, InviteSeq: number, Target: contactOf(m, to.uri), Routes: routes, Proto: proto}
+}
+
+// request makes a request inside the dialog (12.2.1.1), without Via. ACK has the number of its INVITE.
+func (d *dialog) request(method string) *Message {
+	target, routes := d.Target, d.Routes
+	if len(routes) > 0 {
+		first, err := parseAddress(routes[0])
+		if err == nil && !isLoose(first.uri) { // a strict router wants itself in the first line
+			target = first.uri
+			routes = append(append([]string{}, routes[1:]...), "<"+d.Target+">")
+		}
+	}
+	number := d.InviteSeq
+	if method != "ACK" {
+		d.LocalSeq++
+		number = d.LocalSeq
+	}
+	m := Request(method, target).Set("From", d.Local).Set("To", d.Remote).Set("Call-ID", d.CallID).
+		Set("CSeq", cseq(number, method)).Set("Max-Forwards", "70")
+	if len(routes) > 0 {
+		m.Header["Route"] = routes
+	}
+	return m
+}
+
+func isLoose(uri string) bool {
+	u, err := parseURI(uri)
+	_, loose := u.params["lr"]
+	return err == nil && loose
+}
+
+// hop is where requests inside the dialog go: to the first route, else to the remote target.
+func (d *dialog) hop() (proto, addr string, err error) {
+	next := d.Target
+	if len(d.Routes) > 0 {
+		first, err := parseAddress(d.Routes[0])
+		if err != nil {
+			return "", "", err
+		}
+		next = first.uri
+	}
+	u, err := parseURI(next)
+	if err != nil {
+		return "", "", err
+	}
+	proto, addr = u.hop()
+	if u.params["transport"] == "" && d.Proto != "" {
+		proto = d.Proto
+	}
+	return proto, addr, nil
+}
+
+func (d *dialog) record() []byte {
+	b, _ := json.Marshal(d) // plain fields: it cannot fail
+	return b
+}
+
+func (d *dialog) storeKey() string {
+	side := "caller"
+	if d.Server {
+		side = "server"
+	}
+	return d.ID + "/" + side
+}
+
+// escapeUser keeps a called number from breaking out of a URI.
+func escapeUser(s string) string {
+	var b strings.Builder
+	for i := range len(s) {
+		c := s[i]
+		switch {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', strings.IndexByte("-_.!~*'()&=+$,", c) >= 0:
+			b.WriteByte(c)
+		default:
+			fmt.Fprintf(&b, "%%%02X", c)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/protocol/sip/header.go
@@ -0,0 +1,173 @@
+package sip
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+)
+
+// magicCookie begins each branch of RFC 3261.
+const magicCookie = "z9hG4bK"
+
+var errHeader = errors.New("header can't be read")
+
+// splitOutside cuts at a byte that stands outside quotes and angle brackets.
+func splitOutside(s string, at byte) []string {
+	var parts []string
+	quoted, angle, start := false, false, 0
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '<':
+			angle = true
+		case c == '>':
+			angle = false
+		case c == at && !angle:
+			parts = append(parts, strings.TrimSpace(s[start:i]))
+			start = i + 1
+		}
+	}
+	return append(parts, strings.TrimSpace(s[start:]))
+}
+
+// list gives the values of a header that may stand in one line, set apart by commas, or in several.
+func (m *Message) list(key string) []string {
+	var all []string
+	for _, v := range m.Header.Values(key) {
+		for _, part := range splitOutside(v, ',') {
+			if part != "" {
+				all = append(all, part)
+			}
+		}
+	}
+	return all
+}
+
+// params reads ";name=value" parts. Names are folded to lower case.
+func params(parts []string) map[string]string {
+	p := map[string]string{}
+	for _, part := range parts {
+		name, value, _ := strings.Cut(part, "=")
+		p[strings.ToLower(strings.TrimSpace(name))] = strings.TrimSpace(value)
+	}
+	return p
+}
+
+// address is a name-addr with its header parameters, as in From, To, Contact and Route.
+type address struct {
+	uri    string
+	params map[string]string
+}
+
+func parseAddress(s string) (address, error) {
+	parts := splitOutside(s, ';')
+	uri := parts[0]
+	if open := strings.LastIndexByte(uri, '<'); open >= 0 {
+		end := strings.IndexByte(uri[open:], '>')
+		if end < 0 {
+			return address{}, errHeader
+		}
+		uri = uri[open+1 : open+end]
+	}
+	if uri == "" {
+		return address{}, errHeader
+	}
+	return address{uri, params(parts[1:])}, nil
+}
+
+// tag gives the tag of a From or To.
+func tag(value string) string {
+	a, err := parseAddress(value)
+	if err != nil {
+		return ""
+	}
+	return a.params["tag"]
+}
+
+// uri is a SIP URI taken apart as far as it is needed here.
+type uri struct {
+	user, host string
+	port       int // 0 if not given
+	params     map[string]string
+}
+
+func parseURI(s string) (uri, error) {
+	scheme, rest, ok := strings.Cut(s, ":")
+	if !ok || !strings.EqualFold(scheme, "sip") {
+		return uri{}, errHeader
+	}
+	rest, _, _ = strings.Cut(rest, "?")
+	parts := strings.Split(rest, ";")
+	u := uri{host: parts[0], params: params(parts[1:])}
+	if user, host, ok := strings.Cut(parts[0], "@"); ok {
+		u.user, u.host = user, host
+	}
+	if host, port, err := net.SplitHostPort(u.host); err == nil {
+		n, err := strconv.ParseUint(port, 10, 16)
+		if err != nil {
+			return uri{}, errHeader
+		}
+		u.host, u.port = host, int(n)
+	}
+	if u.host == "" {
+		return uri{}, errHeader
+	}
+	return u, nil
+}
+
+// hop gives the address to dial for a URI, and the transport it asks for.
+func (u uri) hop() (proto, addr string) {
+	port := u.port
+	if port == 0 {
+		port = 5060
+	}
+	proto = strings.ToUpper(u.params["transport"])
+	if proto == "" {
+		proto = "UDP"
+	}
+	return proto, net.JoinHostPort(strings.Trim(u.host, "[]"), strconv.Itoa(port))
+}
+
+// via is the topmost Via.
+type via struct {
+	proto, sentBy string
+	params        map[string]string
+}
+
+func (m *Message) topVia() (via, error) {
+	all := m.list("Via")
+	if len(all) == 0 {
+		return via{}, errHeader
+	}
+	parts := splitOutside(all[0], ';')
+	proto, sentBy, ok := strings.Cut(parts[0], " ")
+	proto, found := strings.CutPrefix(proto, "SIP/2.0/")
+	v := via{strings.ToUpper(proto), strings.TrimSpace(sentBy), params(parts[1:])}
+	if !ok || !found || v.sentBy == "" {
+		return via{}, errHeader
+	}
+	return v, nil
+}
+
+// setReceived notes in the topmost Via where a request came from (RFC 3261, 18.2.1, and RFC 3581), so that the
+// response finds its way back.
+func (m *Message) setReceived(from string) {
+	host, port, err := net.SplitHostPort(from)
+	all := m.list("Via")
+	if err != nil || len(all) == 0 {
+		return
+	}
+	parts := splitOutside(all[0], ';')
+	for i, p := range parts {
+		if strings.EqualFold(p, "rport") {
+			parts[i] = "rport=" + port
+		}
+	}
+	all[0] = strings.Join(append(parts, "received="+host), ";")
+	m.Header["Via"] = all
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"beammux/control"
+	"beammux/internal/actor"
 )
 
 // Causes (Q.850) of a release.
@@ -67,7 +68,7 @@
 // Core is the module's actor: the only owner of the Controller, the table of calls and their timers. What races (an
 // answer, a withdrawal, a time-out) is settled by the order in which it comes here.
 type Core struct {
-	*actor
+	*actor.Actor
 	module  *control.Controller
 	log     logrus.FieldLogger
 	orphans Orphans
@@ -83,19 +84,19 @@
 
 // NewCore starts the module.
 func NewCore(set control.Settings, seed uint64, log logrus.FieldLogger) *Core {
-	c := &Core{actor: newActor(), module: control.New(set, seed), log: log, peers: map[uint32]*Peer{},
+	c := &Core{Actor: actor.New(), module: control.New(set, seed), log: log, peers: map[uint32]*Peer{},
 		calls: map[string]*call{}, over: map[string]control.Micros{}}
-	c.post(func() { c.handle(control.Start{}) })
+	c.Post(func() { c.handle(control.Start{}) })
 	return c
 }
 
 // SetOrphans names who is told of releases of unknown calls; it is called before any server is.
-func (c *Core) SetOrphans(o Orphans) { c.post(func() { c.orphans = o }) }
+func (c *Core) SetOrphans(o Orphans) { c.Post(func() { c.orphans = o }) }
 
 // Open takes in a call.
 func (c *Core) Open(s Setup, caller Caller) {
 	at := Now()
-	c.post(func() { c.open(s, caller, at+control.Micros(s.Left/time.Microsecond)) })
+	c.Post(func() { c.open(s, caller, at+control.Micros(s.Left/time.Microsecond)) })
 }
 
 func (c *Core) open(s Setup, caller Caller, dropDead control.Micros) {
@@ -108,7 +109,7 @@
 	c.calls[s.ID] = k
 	c.pending++
 	delete(c.over, s.ID)
-	k.overdue = c.after(span(dropDead-Now())+backstop, func() { c.overdue(k) })
+	k.overdue = c.After(span(dropDead-Now())+backstop, func() { c.overdue(k) })
 	c.handle(control.Call{ID: s.ID, Class: s.Class, Tenant: s.Tenant, Key: s.Key, DropDead: dropDead,
 		FirstChoice: s.FirstChoice, WasCut: s.WasCut})
 }
@@ -125,12 +126,18 @@
 	k.caller.Fail()
 }
 
-// Withdraw says that the caller of a set-up waits no longer. A call that stands is left alone.
-func (c *Core) Withdraw(id string) {
-	c.post(func() {
-		if k := c.calls[id]; k != nil && !k.stands {
+// Withdraw says that the caller of a set-up waits no longer. A call that stands is left alone. done, if not nil, hears
+// whether that came before the final answer.
+func (c *Core) Withdraw(id string, done func(inTime bool)) {
+	c.Post(func() {
+		k := c.calls[id]
+		inTime := k != nil && !k.stands
+		if inTime {
 			c.withdraw(k)
 		}
+		if done != nil {
+			done(inTime)
+		}
 	})
 }
 
@@ -142,7 +149,7 @@
 
 // Hangup ends a call from the caller's side, whatever its state. done hears whether it was known.
 func (c *Core) Hangup(id string, cause int, done func(known bool)) {
-	c.post(func() {
+	c.Post(func() {
 		k := c.calls[id]
 		if k != nil && k.stands {
 			c.release(k, cause)
@@ -188,7 +195,7 @@
 
 // Drained calls f once no caller is owed an answer.
 func (c *Core) Drained(f func()) {
-	c.post(func() {
+	c.Post(func() {
 		c.drained = f
 		if c.pending == 0 {
 			f()
@@ -260,7 +267,7 @@
 			c.endAttempt(k, control.Cancelled, false)
 		}
 	case control.Defer:
-		c.after(span(a.At-Now()), func() { c.handle(control.Timer{Key: a.Key}) })
+		c.After(span(a.At-Now()), func() { c.handle(control.Timer{Key: a.Key}) })
 	case control.Watch: // the list comes by itself
 	case control.Note:
 		c.log.Info(a.Text)
@@ -277,13 +284,13 @@
 	}
 	if at.peer == nil || left <= 0 || k.out != nil {
 		// Not on the list any more, too late, or a second copy: it never leaves.
-		c.post(func() {
+		c.Post(func() {
 			c.handle(control.Resolved{ID: k.ID, Attempt: at.number, Server: a.Server, Code: control.NotSent})
 		})
 		return
 	}
 	k.out = at
-	at.expiry = c.after(span(left), func() {
+	at.expiry = c.After(span(left), func() {
 		if c.calls[k.ID] == k && k.out == at && !k.stands {
 			c.endAttempt(k, control.TimedOut, false)
 		}
@@ -327,9 +334,10 @@
 
 // Outcome is the end of an attempt as the wire saw it.
 type Outcome struct {
-	Code   control.Code
-	Reason int
-	Report []float64
+	Code     control.Code
+	Reason   int
+	ToldWait control.Micros
+	Report   []float64
 }
 
 // failed: an attempt ended without an answer.
@@ -342,7 +350,7 @@
 	k.out = nil
 	a.expiry.Stop()
 	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: o.Code,
-		Took: Now() - a.sentAt, Reason: o.Reason, Report: o.Report})
+		Took: Now() - a.sentAt, Reason: o.Reason, ToldWait: o.ToldWait, Report: o.Report})
 }
 
 // released: a server says that a call which stood is over. One told twice is passed on once.
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"beammux/control"
+	"beammux/internal/actor"
 )
 
 // Host is one server as a list names it.
@@ -27,7 +28,7 @@
 
 // List is the actor that owns the list of servers and their peers. Buses and inventories feed it.
 type List struct {
-	*actor
+	*actor.Actor
 	core   *Core
 	dialer Dialer
 	log    logrus.FieldLogger
@@ -43,16 +44,16 @@
 
 // NewList makes an empty list whose changes go to a core.
 func NewList(core *Core, dialer Dialer, log logrus.FieldLogger) *List {
-	return &List{actor: newActor(), core: core, dialer: dialer, log: log, hosts: map[string]*listed{},
+	return &List{Actor: actor.New(), core: core, dialer: dialer, log: log, hosts: map[string]*listed{},
 		taken: map[uint32]string{}}
 }
 
 // Apply takes a change. done, if not nil, is called when the module has it.
 func (l *List) Apply(u Update, done func()) {
-	l.post(func() {
+	l.Post(func() {
 		l.apply(u)
 		if done != nil {
-			l.core.post(done)
+			l.core.Post(done)
 		}
 	})
 }
@@ -77,7 +78,7 @@
 	for _, h := range l.hosts {
 		peers[h.id] = h.peer
 	}
-	l.core.post(func() {
+	l.core.Post(func() {
 		l.core.peers = peers
 		l.core.handle(control.List{Delta: !u.Whole, Entries: entries})
 	})
@@ -105,7 +106,7 @@
 	} else if h.Since > old.Since {
 		// A new process under the same id: calls that stood at the old one are over.
 		p := old.peer
-		l.core.post(func() { l.core.died(p, h.Since) })
+		l.core.Post(func() { l.core.died(p, h.Since) })
 	}
 	old.Host = h
 	old.peer.set(h.State)
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"beammux/control"
+	"beammux/internal/actor"
 )
 
 // ref names one attempt.
@@ -73,7 +74,7 @@
 
 // Peer is the actor of one server: it keeps a line to it and knows which attempts are out there.
 type Peer struct {
-	*actor
+	*actor.Actor
 	core   *Core
 	server uint32
 	addr   string
@@ -106,7 +107,7 @@
 }
 
 func newPeer(core *Core, server uint32, addr string, dialer Dialer, log logrus.FieldLogger) *Peer {
-	p := &Peer{actor: newActor(), core: core, server: server, addr: addr, dialer: dialer, log: log,
+	p := &Peer{Actor: actor.New(), core: core, server: server, addr: addr, dialer: dialer, log: log,
 		out: map[string]sending{}, redial: redialFirst}
 	p.ctx, p.stopDial = context.WithCancel(context.Background())
 	return p
@@ -115,7 +116,7 @@
 // set takes what the list says of the server. It is valid at once, also for what is queued.
 func (p *Peer) set(s control.State) {
 	p.state.Store(int32(s))
-	p.post(func() {
+	p.Post(func() {
 		if s == control.Gone {
 			p.retire()
 		} else {
@@ -138,8 +139,8 @@
 		line.Close()
 	}
 	at := Now()
-	p.core.post(func() { p.core.died(p, at+1) })
-	p.after(lingerFor, p.end) // what was sent to it meanwhile still gets its NotSent
+	p.core.Post(func() { p.core.died(p, at+1) })
+	p.After(lingerFor, p.Stop) // what was sent to it meanwhile still gets its NotSent
 }
 
 // connect opens the line unless there is one: calls that stand and reports of the server need it too.
@@ -155,7 +156,7 @@
 	p.events = e
 	go func() {
 		line, err := p.dialer.Dial(p.ctx, p.addr, e)
-		p.post(func() { p.dialled(e, line, err) })
+		p.Post(func() { p.dialled(e, line, err) })
 	}()
 }
 
@@ -177,9 +178,9 @@
 			// Reset and then refused: the process died, and its calls with it. It can't release them.
 			p.reset = false
 			at := p.lostAt
-			p.core.post(func() { p.core.died(p, at+1) })
+			p.core.Post(func() { p.core.died(p, at+1) })
 		}
-		p.timer = p.after(p.redial, p.connect)
+		p.timer = p.After(p.redial, p.connect)
 		p.redial = min(2*p.redial, redialMost)
 		return
 	}
@@ -196,7 +197,7 @@
 
 // setup starts an attempt.
 func (p *Peer) setup(a Attempt) {
-	p.post(func() {
+	p.Post(func() {
 		switch {
 		case !p.ready():
 			p.fail(a, control.NotSent)
@@ -233,7 +234,7 @@
 
 // cancel gives up an attempt whose end the core has settled already.
 func (p *Peer) cancel(r ref) {
-	p.post(func() {
+	p.Post(func() {
 		for i, a := range p.queued {
 			if a.ref == r {
 				p.queued = append(p.queued[:i:i], p.queued[i+1:]...)
@@ -251,7 +252,7 @@
 
 // release ends a call that stands at the server.
 func (p *Peer) release(id string, cause int) {
-	p.post(func() {
+	p.Post(func() {
 		if p.phase == up {
 			p.line.Release(id, cause)
 		} else if control.State(p.state.Load()) != control.Gone {
@@ -262,7 +263,7 @@
 }
 
 func (p *Peer) fail(a Attempt, code control.Code) {
-	p.core.post(func() { p.core.failed(a.ref, Outcome{Code: code}) })
+	p.core.Post(func() { p.core.failed(a.ref, Outcome{Code: code}) })
 }
 
 // down: the line is gone, and with it the set-ups that were out on it. Calls that stand are not tied to a line.
@@ -287,7 +288,7 @@
 type lineEvents struct{ peer *Peer }
 
 func (e *lineEvents) on(f func(p *Peer)) {
-	e.peer.post(func() {
+	e.peer.Post(func() {
 		if e.peer.events == e {
 			f(e.peer)
 		}
@@ -299,7 +300,7 @@
 		if o, ok := p.out[a.id]; ok && o.ref == a.ref {
 			delete(p.out, a.id)
 		}
-		p.core.post(func() { p.core.answered(p, a.ref, body) })
+		p.core.Post(func() { p.core.answered(p, a.ref, body) })
 	})
 }
 
@@ -308,16 +309,16 @@
 		if out, ok := p.out[a.id]; ok && out.ref == a.ref {
 			delete(p.out, a.id)
 		}
-		p.core.post(func() { p.core.failed(a.ref, o) })
+		p.core.Post(func() { p.core.failed(a.ref, o) })
 	})
 }
 
 func (e *lineEvents) Released(id string, cause int, report []float64) {
-	e.on(func(p *Peer) { p.core.post(func() { p.core.released(p, id, cause, report) }) })
+	e.on(func(p *Peer) { p.core.Post(func() { p.core.released(p, id, cause, report) }) })
 }
 
 func (e *lineEvents) Report(report []float64) {
-	e.on(func(p *Peer) { p.core.post(func() { p.core.status(p, report) }) })
+	e.on(func(p *Peer) { p.core.Post(func() { p.core.status(p, report) }) })
 }
 
 func (e *lineEvents) Down(err error) {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 const (
 	MaxQueued    = 1 << 20                 // bytes that wait to be written; beyond it the connection is given up
 	writeTimeout = 1500 * time.Millisecond // one write may take so long: guards against a peer that went silent
+	lingerFor    = 200 * time.Millisecond  // the other side has so long to close too
 )
 
 // The ways in which a Conn ends from this side.
@@ -113,6 +115,7 @@
 				ending := c.ending
 				c.mu.Unlock()
 				if ending {
+					c.linger()
 					c.fail(ErrClosed)
 					continue
 				}
@@ -136,6 +139,15 @@
 	}
 }
 
+// linger ends the sending side and reads what the other side still sends: a close with unread input would reset the
+// connection, and the last answer would be lost with it.
+func (c *Conn) linger() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.Conn.SetReadDeadline(time.Now().Add(lingerFor))
+		io.Copy(io.Discard, io.LimitReader(c.Conn, MaxQueued))
+	}
+}
+
 // fail closes the connection at once.
 func (c *Conn) fail(err error) {
 	c.mu.Lock()
