SIP: answer an oversized message before its connection is closed

Seen: TestBadInput/too_long/TCP got no 513. Ruled out: the reset by unread input (half-close did not help). Cause: the rejection was posted to the actor, but the listener finished the connection as soon as readTCP returned, so Send gave ErrClosed (agent.go, readTCP). The rejection is now written by the reader itself.

--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -229,11 +229,9 @@
 		}
 		if err == ErrMalformed || err == ErrTooLong {
 			a.Log.WithField("peer", key).WithError(err).Warn("SIP: bad message, connection closed")
+			a.reject(m, &tcpFlow{agent: a, conn: c}, err) // at once: the connection is closed when this returns
 		}
 		a.Post(func() {
-			if err == ErrMalformed || err == ErrTooLong {
-				a.reject(m, &tcpFlow{agent: a, conn: c}, err)
-			}
 			if a.conns[key] == c {
 				delete(a.conns, key)
 			}
@@ -307,7 +305,7 @@
 
 // ---- Messages ----
 
-// reject answers what could not be read, where it is a request that can be answered.
+// reject answers what could not be read, where it is a request that can be answered. It touches nothing of the actor's.
 func (a *Agent) reject(m *Message, f flow, fault error) {
 	if m == nil || !m.IsRequest() || m.Method == "ACK" {
 		return
