Store: revisioned records replicated by hashicorp/raft, one in-memory node by default

Peers share one listener for raft and forwarded writes. Tested: the leader is closed after 60 committed writes, and the two that are left still hold each record at its revision.

--- /dev/null
+++ b/internal/store/machine.go
@@ -0,0 +1,182 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hashicorp/raft"
+)
+
+const (
+	opPut    = "put"
+	opPutAt  = "put-at"
+	opDelete = "delete"
+)
+
+// command is one entry of the log.
+type command struct {
+	Op    string `json:"op"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	At    uint64 `json:"at,omitempty"`
+	Hop   bool   `json:"hop,omitempty"` // forwarded once already
+}
+
+// result is what applying a command gave.
+type result struct {
+	Revision uint64 `json:"revision,omitempty"`
+	Conflict bool   `json:"conflict,omitempty"`
+	Fault    string `json:"fault,omitempty"`
+}
+
+type watcher struct {
+	prefix string
+	f      func(Record)
+}
+
+// machine is the replicated state: raft applies committed commands to it, alike at every node.
+type machine struct {
+	mu       sync.Mutex
+	records  map[string]Record
+	applied  uint64
+	more     chan struct{} // closed and renewed when applied grows
+	watchers []watcher
+}
+
+func newMachine() *machine { return &machine{records: map[string]Record{}, more: make(chan struct{})} }
+
+// Apply implements raft.FSM. A command that can't be read changes nothing, alike at every node.
+func (m *machine) Apply(l *raft.Log) any {
+	var c command
+	err := json.Unmarshal(l.Data, &c)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := result{Revision: l.Index}
+	old, exists := m.records[c.Key]
+	switch {
+	case err != nil:
+		r.Fault = err.Error()
+	case c.Op == opPutAt && old.Revision != c.At:
+		r.Conflict = true
+	case c.Op == opPut, c.Op == opPutAt:
+		m.records[c.Key] = Record{c.Key, c.Value, l.Index}
+		m.tell(m.records[c.Key])
+	case c.Op == opDelete && exists:
+		delete(m.records, c.Key)
+		m.tell(Record{Key: c.Key, Revision: l.Index})
+	}
+	m.moved(l.Index)
+	return r
+}
+
+func (m *machine) tell(r Record) {
+	for _, w := range m.watchers {
+		if strings.HasPrefix(r.Key, w.prefix) {
+			w.f(r)
+		}
+	}
+}
+
+func (m *machine) moved(index uint64) {
+	m.applied = index
+	close(m.more)
+	m.more = make(chan struct{})
+}
+
+// wait returns once a revision is applied here.
+func (m *machine) wait(ctx context.Context, revision uint64) error {
+	for {
+		m.mu.Lock()
+		done, more := m.applied >= revision, m.more
+		m.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m *machine) get(key string) (Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.records[key]
+	return r, ok
+}
+
+func (m *machine) list(prefix string) []Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []Record
+	for key, r := range m.records {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return all
+}
+
+func (m *machine) watch(prefix string, f func(Record)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watchers = append(m.watchers, watcher{prefix, f})
+}
+
+type snapshot struct {
+	Applied uint64   `json:"applied"`
+	Records []Record `json:"records"`
+}
+
+// Snapshot implements raft.FSM.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	records := m.list("")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &snapshot{m.applied, records}, nil
+}
+
+// Restore implements raft.FSM. Watchers hear of what differs.
+func (m *machine) Restore(in io.ReadCloser) error {
+	defer in.Close()
+	var s snapshot
+	if err := json.NewDecoder(in).Decode(&s); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.records
+	m.records = make(map[string]Record, len(s.Records))
+	for _, r := range s.Records {
+		m.records[r.Key] = r
+		if old[r.Key].Revision != r.Revision {
+			m.tell(r)
+		}
+	}
+	for key := range old {
+		if _, ok := m.records[key]; !ok {
+			m.tell(Record{Key: key, Revision: s.Applied})
+		}
+	}
+	m.moved(max(m.applied, s.Applied))
+	return nil
+}
+
+// Persist implements raft.FSMSnapshot.
+func (s *snapshot) Persist(sink raft.SnapshotSink) error {
+	if err := json.NewEncoder(sink).Encode(s); err != nil {
+		sink.Cancel()
+		return err
+	}
+	return sink.Close()
+}
+
+// Release implements raft.FSMSnapshot.
+func (s *snapshot) Release() {}
--- /dev/null
+++ b/internal/store/node.go
@@ -0,0 +1,318 @@
+package store
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	electAfter  = 400 * time.Millisecond // without word from the leader
+	applyWithin = 2 * time.Second
+	retryAfter  = 30 * time.Millisecond // while there is no leader
+	sniffWithin = time.Second           // for the first byte of a connection
+	maxCommand  = 4 << 20
+)
+
+// Peer is one member of the group.
+type Peer struct{ Node, Address string }
+
+// Options say how a node works. Without peers it is a single one in memory, without sockets.
+type Options struct {
+	Node     string
+	Listener net.Listener // where peers reach this node
+	Peers    []Peer       // all members, this node among them
+	Log      logrus.FieldLogger
+}
+
+// Node is a member of the group. Logs are in memory: a gatekeeper has no disk that outlives it, so records last for as
+// long as a majority of the members runs.
+type Node struct {
+	raft  *raft.Raft
+	fsm   *machine
+	layer *streamLayer
+	trans io.Closer
+}
+
+// Open starts a node.
+func Open(o Options) (*Node, error) {
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(o.Node)
+	c.HeartbeatTimeout, c.ElectionTimeout = electAfter, electAfter
+	c.LeaderLeaseTimeout = electAfter / 2
+	c.CommitTimeout = 10 * time.Millisecond
+	c.ShutdownOnRemove = false
+	c.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Output: logWriter{o.Log}, Level: hclog.Warn, DisableTime: true})
+	n := &Node{fsm: newMachine()}
+	servers := []raft.Server{{ID: c.LocalID, Address: raft.ServerAddress(o.Node)}}
+	var trans raft.Transport
+	if len(o.Peers) == 0 {
+		_, mem := raft.NewInmemTransport(raft.ServerAddress(o.Node))
+		trans, n.trans = mem, mem
+	} else {
+		if o.Listener == nil {
+			return nil, errors.New("store: a node with peers must listen")
+		}
+		servers = nil
+		own := false
+		for _, p := range o.Peers {
+			own = own || p.Node == o.Node
+			servers = append(servers, raft.Server{ID: raft.ServerID(p.Node), Address: raft.ServerAddress(p.Address)})
+		}
+		if !own {
+			return nil, fmt.Errorf("store: node %q is not among its peers", o.Node)
+		}
+		n.layer = newStreamLayer(o.Listener, n.serve)
+		net := raft.NewNetworkTransportWithLogger(n.layer, 3, applyWithin, c.Logger)
+		trans, n.trans = net, net
+	}
+	logs := raft.NewInmemStore()
+	r, err := raft.NewRaft(c, n.fsm, logs, logs, raft.NewInmemSnapshotStore(), trans)
+	if err != nil {
+		n.trans.Close()
+		return nil, err
+	}
+	n.raft = r
+	// Every member names the same first configuration, so it does not matter who is first.
+	if err := r.BootstrapCluster(raft.Configuration{Servers: servers}).Error(); err != nil && err != raft.ErrCantBootstrap {
+		n.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// Leader tells whether this node leads.
+func (n *Node) Leader() bool { return n.raft.State() == raft.Leader }
+
+// Get implements Store.
+func (n *Node) Get(key string) (Record, bool) { return n.fsm.get(key) }
+
+// List implements Store.
+func (n *Node) List(prefix string) []Record { return n.fsm.list(prefix) }
+
+// Watch implements Store.
+func (n *Node) Watch(prefix string, f func(Record)) { n.fsm.watch(prefix, f) }
+
+// Put implements Store.
+func (n *Node) Put(ctx context.Context, key string, value []byte) (uint64, error) {
+	return n.write(ctx, command{Op: opPut, Key: key, Value: value})
+}
+
+// PutAt implements Store.
+func (n *Node) PutAt(ctx context.Context, key string, value []byte, at uint64) (uint64, error) {
+	return n.write(ctx, command{Op: opPutAt, Key: key, Value: value, At: at})
+}
+
+// Delete implements Store.
+func (n *Node) Delete(ctx context.Context, key string) error {
+	_, err := n.write(ctx, command{Op: opDelete, Key: key})
+	return err
+}
+
+// Close implements Store.
+func (n *Node) Close() error {
+	err := n.raft.Shutdown().Error()
+	n.trans.Close()
+	return err
+}
+
+// write commits a command at the leader, wherever that is, and waits until it is applied here too, so that who wrote
+// reads what it wrote. While there is no leader it tries again.
+func (n *Node) write(ctx context.Context, c command) (uint64, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		r, err := n.once(ctx, data)
+		if err == nil {
+			if r.Conflict {
+				return 0, ErrRevision
+			}
+			return r.Revision, n.fsm.wait(ctx, r.Revision)
+		}
+		select {
+		case <-ctx.Done():
+			return 0, fmt.Errorf("store: %w (last: %v)", ctx.Err(), err)
+		case <-time.After(retryAfter):
+		}
+	}
+}
+
+func (n *Node) once(ctx context.Context, data []byte) (result, error) {
+	if n.Leader() {
+		return n.commit(data)
+	}
+	addr, _ := n.raft.LeaderWithID()
+	if addr == "" || n.layer == nil {
+		return result{}, errors.New("no leader")
+	}
+	return forward(ctx, string(addr), data)
+}
+
+func (n *Node) commit(data []byte) (result, error) {
+	f := n.raft.Apply(data, applyWithin)
+	if err := f.Error(); err != nil {
+		return result{}, err
+	}
+	return f.Response().(result), nil
+}
+
+// forward hands a command to another node.
+func forward(ctx context.Context, addr string, data []byte) (r result, err error) {
+	d := net.Dialer{Timeout: applyWithin}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return r, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * applyWithin))
+	if _, err = c.Write(append(append([]byte{forwardByte}, data...), '\n')); err != nil {
+		return r, err
+	}
+	if err = json.NewDecoder(io.LimitReader(c, 1<<10)).Decode(&r); err != nil {
+		return r, err
+	}
+	if r.Fault != "" {
+		return r, errors.New(r.Fault)
+	}
+	return r, nil
+}
+
+// serve takes one forwarded command.
+func (n *Node) serve(c net.Conn) {
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * applyWithin))
+	line, err := bufio.NewReader(io.LimitReader(c, maxCommand)).ReadBytes('\n')
+	if err != nil {
+		return
+	}
+	var r result
+	var cmd command
+	if err = json.Unmarshal(line, &cmd); err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), applyWithin)
+		defer cancel()
+		if cmd.Hop { // from a node that took this one for the leader
+			r, err = n.commit(line)
+		} else {
+			cmd.Hop = true
+			var revision uint64
+			revision, err = n.write(ctx, cmd)
+			r.Revision = revision
+			if err == ErrRevision {
+				r.Conflict, err = true, nil
+			}
+		}
+	}
+	if err != nil {
+		r.Fault = err.Error()
+	}
+	json.NewEncoder(c).Encode(r)
+}
+
+// Import writes a record through a running node.
+func Import(ctx context.Context, addr, key string, value []byte) (revision uint64, err error) {
+	data, err := json.Marshal(command{Op: opPut, Key: key, Value: value})
+	if err != nil {
+		return 0, err
+	}
+	r, err := forward(ctx, addr, data)
+	return r.Revision, err
+}
+
+type logWriter struct{ log logrus.FieldLogger }
+
+func (w logWriter) Write(p []byte) (int, error) {
+	w.log.Info("store: " + strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+// streamLayer shares one listener between raft and forwarded commands: the first byte tells them apart.
+type streamLayer struct {
+	net.Listener
+	raft  chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+	serve func(net.Conn)
+}
+
+const (
+	raftByte    = 'R'
+	forwardByte = 'F'
+)
+
+func newStreamLayer(l net.Listener, serve func(net.Conn)) *streamLayer {
+	s := &streamLayer{Listener: l, raft: make(chan net.Conn), done: make(chan struct{}), serve: serve}
+	go s.run()
+	return s
+}
+
+func (s *streamLayer) run() {
+	for {
+		c, err := s.Listener.Accept()
+		if err != nil {
+			s.Close()
+			return
+		}
+		go s.sniff(c)
+	}
+}
+
+func (s *streamLayer) sniff(c net.Conn) {
+	var first [1]byte
+	c.SetReadDeadline(time.Now().Add(sniffWithin))
+	_, err := io.ReadFull(c, first[:])
+	c.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil && first[0] == forwardByte:
+		s.serve(c)
+	case err == nil && first[0] == raftByte:
+		select {
+		case s.raft <- c:
+		case <-s.done:
+			c.Close()
+		}
+	default:
+		c.Close()
+	}
+}
+
+// Accept implements raft.StreamLayer.
+func (s *streamLayer) Accept() (net.Conn, error) {
+	select {
+	case c := <-s.raft:
+		return c, nil
+	case <-s.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements raft.StreamLayer.
+func (s *streamLayer) Close() error {
+	s.once.Do(func() { close(s.done) })
+	return s.Listener.Close()
+}
+
+// Dial implements raft.StreamLayer.
+func (s *streamLayer) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", string(addr), timeout)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = c.Write([]byte{raftByte}); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,192 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func single(t *testing.T) *Node {
+	n, err := Open(Options{Node: "a", Log: quiet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.Close() })
+	return n
+}
+
+func group(t *testing.T, size int) []*Node {
+	var peers []Peer
+	var listeners []net.Listener
+	for i := range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		peers = append(peers, Peer{fmt.Sprint("n", i), l.Addr().String()})
+	}
+	var nodes []*Node
+	for i, p := range peers {
+		n, err := Open(Options{Node: p.Node, Listener: listeners[i], Peers: peers, Log: quiet()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { n.Close() })
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// A write at any node, leader or not, is read there; with the leader lost, no committed record is.
+func TestLosingTheLeaderLosesNoRecord(t *testing.T) {
+	nodes := group(t, 3)
+	ctx := within(t)
+	const records = 60
+	revisions := map[string]uint64{}
+	for i := range records {
+		key := fmt.Sprintf("dialog/%02d", i)
+		at := nodes[i%3]
+		rev, err := at.Put(ctx, key, []byte(key))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, ok := at.Get(key); !ok || r.Revision != rev {
+			t.Fatalf("%s reads %+v after a write at revision %d", key, r, rev)
+		}
+		revisions[key] = rev
+	}
+	var rest []*Node
+	var lost bool
+	for _, n := range nodes {
+		if n.Leader() && !lost {
+			lost = true
+			n.Close()
+			continue
+		}
+		rest = append(rest, n)
+	}
+	if len(rest) != 2 {
+		t.Fatalf("%d nodes are left, want 2", len(rest))
+	}
+	for _, n := range rest {
+		if _, err := n.Put(ctx, "after/"+n.layer.Addr().String(), nil); err != nil {
+			t.Fatal(err)
+		}
+		for key, rev := range revisions {
+			if r, ok := n.Get(key); !ok || r.Revision != rev || !bytes.Equal(r.Value, []byte(key)) {
+				t.Errorf("%s is %+v, want revision %d", key, r, rev)
+			}
+		}
+	}
+}
+
+func TestRevisions(t *testing.T) {
+	n, ctx := single(t), within(t)
+	first, err := n.PutAt(ctx, "k", []byte("1"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := n.PutAt(ctx, "k", []byte("2"), 0); err != ErrRevision {
+		t.Errorf("second create: %v, want ErrRevision", err)
+	}
+	second, err := n.PutAt(ctx, "k", []byte("2"), first)
+	if err != nil || second <= first {
+		t.Errorf("revision %d after %d: %v", second, first, err)
+	}
+	if err := n.Delete(ctx, "k"); err != nil {
+		t.Error(err)
+	}
+	if _, ok := n.Get("k"); ok {
+		t.Error("deleted record is still there")
+	}
+}
+
+func TestWatchHearsChangesInOrder(t *testing.T) {
+	n, ctx := single(t), within(t)
+	heard := make(chan Record, 4)
+	n.Watch("inventory", func(r Record) { heard <- r })
+	n.Put(ctx, "inventory", []byte("a"))
+	n.Put(ctx, "other", []byte("x"))
+	n.Delete(ctx, "inventory")
+	if r := <-heard; string(r.Value) != "a" {
+		t.Errorf("first %+v", r)
+	}
+	if r := <-heard; r.Key != "inventory" || r.Value != nil {
+		t.Errorf("second %+v", r)
+	}
+}
+
+func TestImportThroughAnyNode(t *testing.T) {
+	nodes, ctx := group(t, 3), within(t)
+	for i, n := range nodes {
+		value := []byte{byte(i)}
+		// The node may not know its leader yet: the import says so and is tried again.
+		for {
+			if _, err := Import(ctx, n.layer.Addr().String(), "inventory", value); err == nil {
+				break
+			} else if ctx.Err() != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := n.Put(ctx, "barrier", nil); err != nil {
+			t.Fatal(err)
+		}
+		if r, _ := n.Get("inventory"); !bytes.Equal(r.Value, value) {
+			t.Errorf("node %d reads %v, want %v", i, r.Value, value)
+		}
+	}
+}
+
+// A snapshot gives the same records back, and watchers hear only of what changed.
+func TestSnapshotRestores(t *testing.T) {
+	n, ctx := single(t), within(t)
+	n.Put(ctx, "a", []byte("1"))
+	n.Put(ctx, "b", []byte("2"))
+	s, err := n.fsm.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sink := &memSink{}
+	if err := s.Persist(sink); err != nil {
+		t.Fatal(err)
+	}
+	m := newMachine()
+	m.records["b"], _ = n.Get("b")
+	m.records["c"] = Record{Key: "c", Revision: 1}
+	var told []string
+	m.watch("", func(r Record) { told = append(told, r.Key) })
+	if err := m.Restore(io.NopCloser(&sink.Buffer)); err != nil {
+		t.Fatal(err)
+	}
+	if got := m.list(""); len(got) != 2 || string(got[0].Value) != "1" {
+		t.Errorf("restored %+v", got)
+	}
+	if fmt.Sprint(told) != "[a c]" {
+		t.Errorf("told %v, want a and c", told)
+	}
+}
+
+type memSink struct{ bytes.Buffer }
+
+func (*memSink) ID() string    { return "test" }
+func (*memSink) Cancel() error { return nil }
+func (*memSink) Close() error  { return nil }
