Wire the SIP front, store and inventory into serve; mixed SIP and JSON loopback test

deploy/beammux.json says where the SIP front listens, who the store's peers are and which inventory is read; all off on the platform. inventory check|import, SIGHUP reload with the last good one kept. The mixed test drives SIP (UDP, TCP) and JSON callers through one core in front of platform and SIP servers, and asserts one final answer, single attempts, the 300 ms release guard, drains and bodies.

--- /dev/null
+++ b/cmd/beammux/inventory.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"beammux/internal/inventory"
+	"beammux/internal/routing"
+	"beammux/internal/store"
+)
+
+type inventoryCmd struct {
+	Check  inventoryCheckCmd  `cmd:"" help:"Read an inventory and say whether it is good."`
+	Import inventoryImportCmd `cmd:"" help:"Write an inventory into the store of a running group of gatekeepers."`
+}
+
+type inventoryCheckCmd struct {
+	File string `arg:"" help:"Inventory (CSV or YAML)."`
+}
+
+func (c inventoryCheckCmd) Run() error {
+	hosts, err := inventory.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: good: %d servers\n", c.File, len(hosts))
+	return nil
+}
+
+type inventoryImportCmd struct {
+	File  string        `arg:"" help:"Inventory (CSV or YAML)."`
+	Store string        `help:"Address of any member of the store." required:""`
+	Wait  time.Duration `help:"How long to try while the group has no leader." default:"10s"`
+}
+
+func (c inventoryImportCmd) Run() error {
+	hosts, err := inventory.Load(c.File) // a bad one never reaches the store
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	value := append([]byte(filepath.Ext(c.File)+"\n"), text...)
+	for {
+		revision, err := store.Import(ctx, c.Store, inventoryKey, value)
+		if err == nil {
+			fmt.Printf("%s: imported: %d servers, revision %d\n", c.File, len(hosts), revision)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: not imported: %w", c.Store, err)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// parseImported reads the record that an import wrote: the ending of the file, a line feed, and its text.
+func parseImported(value []byte) ([]routing.Host, error) {
+	ext, text, _ := bytes.Cut(value, []byte("\n"))
+	return inventory.Parse("store:inventory"+string(ext), text)
+}
--- /dev/null
+++ b/cmd/beammux/loopback_test.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/control"
+	"beammux/internal/config"
+	"beammux/internal/protocol/sip"
+	"beammux/internal/protocol/sip/siptest"
+	"beammux/internal/routing"
+)
+
+const testSettings = `{"balancers":1,"bounds":{"attempts-cap":5,"cancel":true,"dial-timeout-us":500000,
+"max-retry-after-us":2000000,"retry-after":true},"classes":[{"aim-us":1500000,"deadline-us":1500000,"late-worth":0.25,
+"name":"menu-view","repeat":"read_like","worth":1}],"discovery":"automatic","extra":{"here":-1,"release-guard-us":300000,
+"t1-us":500000},"guarantees":{"fall-multiple":2,"fall-us":1000000,"start-capacity":0.33,"warm-within-us":15000000},
+"report":{"fields":["spare","total","busy","q"],"via":"inline"}}`
+
+func testNode(t *testing.T, deploy *config.Deploy) *node {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":256},"known":{"offset":0,"batch":[]},"settings":%s}`, testSettings)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n, err := start(cfg, deploy, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.listener.Close()
+		if n.agent != nil {
+			n.agent.Close()
+		}
+		n.stop()
+		n.store.Close()
+	})
+	return n
+}
+
+func (n *node) applied(u routing.Update) {
+	done := make(chan struct{})
+	n.list.Apply(u, func() { close(done) })
+	<-done
+}
+
+// dialJSON connects a stand-in for a tablet.
+func dialJSON(t *testing.T, n *node, on func(map[string]any)) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", n.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	go func() {
+		for s := bufio.NewScanner(c); s.Scan(); {
+			m := map[string]any{}
+			if json.Unmarshal(s.Bytes(), &m) == nil {
+				on(m)
+			}
+		}
+	}()
+	return c
+}
+
+// rules watches every attempt and every answer of the mixed run. Calls are told apart by the number called.
+type rules struct {
+	t        *testing.T
+	mu       sync.Mutex
+	out      map[string]string    // server at which an attempt of a call is out
+	endedAt  map[string]time.Time // end of an attempt that may have run: the release guard counts from it
+	drained  map[string]time.Time
+	answers  map[string]int
+	answered chan struct{}
+	attempts int
+}
+
+const (
+	slack      = 5 * time.Millisecond // clocks are read at two ends
+	guard      = 300 * time.Millisecond
+	drainGrace = 300 * time.Millisecond
+)
+
+func (r *rules) begin(key, server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts++
+	if at := r.out[key]; at != "" {
+		r.t.Errorf("call %s is out at %s and at %s at once", key, at, server)
+	}
+	if at, ok := r.endedAt[key]; ok && time.Since(at) < guard-slack {
+		r.t.Errorf("call %s sent again %v after an attempt that may have run", key, time.Since(at))
+	}
+	if at, ok := r.drained[server]; ok && time.Since(at) > drainGrace {
+		r.t.Errorf("call %s sent to %s %v after it drained", key, server, time.Since(at))
+	}
+	r.out[key] = server
+}
+
+func (r *rules) end(key string, mayHaveRun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.out, key)
+	if mayHaveRun {
+		r.endedAt[key] = time.Now()
+	}
+}
+
+func (r *rules) answer(key string, took, left time.Duration) {
+	r.mu.Lock()
+	r.answers[key]++
+	if r.answers[key] > 1 {
+		r.t.Errorf("call %s got %d final answers", key, r.answers[key])
+	}
+	if took > left+70*time.Millisecond {
+		r.t.Errorf("call %s answered after %v of %v", key, took, left)
+	}
+	r.mu.Unlock()
+	r.answered <- struct{}{}
+}
+
+func keyOf(m *sip.Message) string {
+	user, _, _ := strings.Cut(strings.TrimPrefix(m.URI, "sip:"), "@")
+	return user
+}
+
+// server plays a menu server: the call's number decides what it does, so that a run is the same each time.
+func (r *rules) server(name string) func(*siptest.Party, siptest.Entry) {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	keys := map[string]string{}
+	return func(p *siptest.Party, e siptest.Entry) {
+		m, id := e.Msg, e.Msg.Get("Call-ID")
+		switch {
+		case siptest.Is("INVITE")(m):
+			key := keyOf(m)
+			mu.Lock()
+			again := seen[id]
+			seen[id], keys[id] = true, key
+			mu.Unlock()
+			if again {
+				return // a retransmission, to be absorbed
+			}
+			r.begin(key, name)
+			e.Back(p.Reply(m, 100, "Trying", ""))
+			var digits int
+			fmt.Sscan(key, &digits)
+			final := func(status int, body string, mayHaveRun bool) {
+				r.end(key, mayHaveRun)
+				e.Back(p.Reply(m, status, "Final", body))
+			}
+			switch (digits + len(name)) % 16 {
+			case 0:
+				final(503, "", false)
+			case 1:
+				final(500, "", false)
+			case 2:
+				final(504, "", true)
+			case 3: // never answered: it is given up
+			default:
+				time.AfterFunc(time.Duration(digits%40)*time.Millisecond, func() { final(200, "for "+key, false) })
+			}
+		case siptest.Is("CANCEL")(m):
+			mu.Lock()
+			key := keys[id]
+			mu.Unlock()
+			r.end(key, true)
+			e.Back(p.Reply(m, 200, "OK", ""))
+		case siptest.Is("BYE")(m):
+			e.Back(p.Reply(m, 200, "OK", ""))
+		}
+	}
+}
+
+// SIP callers over UDP and TCP and JSON callers on one core, in front of platform and SIP servers: every rule holds.
+// Guards against the second front following looser rules than the first.
+func TestMixedCallersKeepTheRules(t *testing.T) {
+	n := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0", SIPTCP: "127.0.0.1:0", DefaultClass: "menu-view"})
+	const calls, left = 120, 1500 * time.Millisecond
+	r := &rules{t: t, out: map[string]string{}, endedAt: map[string]time.Time{}, drained: map[string]time.Time{},
+		answers: map[string]int{}, answered: make(chan struct{}, 4*calls)}
+	var hosts []routing.Host
+	for i, kind := range []string{"platform", "UDP", "TCP", "drained"} {
+		p := siptest.New(t, r.server(kind))
+		addr := p.Addr("TCP")
+		switch kind {
+		case "UDP", "TCP":
+			addr = p.URI(kind)
+		case "drained":
+			addr = p.URI("UDP")
+		}
+		hosts = append(hosts, routing.Host{Name: kind, Addr: addr, Cell: i, State: control.Ready})
+	}
+	n.applied(routing.Update{Whole: true, Hosts: hosts})
+
+	begun := sync.Map{}
+	took := func(key string) time.Duration {
+		at, _ := begun.Load(key)
+		return time.Since(at.(time.Time))
+	}
+	ids := sync.Map{} // JSON ids to numbers
+	j := dialJSON(t, n, func(m map[string]any) {
+		key, _ := ids.Load(m["sid"])
+		switch m["msg"] {
+		case "ready":
+			if m["text"] != "for "+key.(string) {
+				t.Errorf("call %v was answered with %v", key, m["text"])
+			}
+			r.answer(key.(string), took(key.(string)), left)
+		case "close":
+			r.answer(key.(string), took(key.(string)), left)
+		}
+	})
+	var acked sync.Map
+	caller := siptest.New(t, func(p *siptest.Party, e siptest.Entry) {
+		_, method, _ := e.Msg.CSeq()
+		if method != "INVITE" || e.Msg.Status < 200 {
+			return
+		}
+		key := strings.TrimPrefix(e.Msg.Get("Call-ID"), "call")
+		proto := "UDP"
+		if strings.Contains(e.Msg.Get("Via"), "/TCP") {
+			proto = "TCP"
+		}
+		invite := p.Invite(proto, "call"+key, key, "")
+		ack := siptest.Within(invite, e.Msg, "ACK", 1)
+		if e.Msg.Status >= 300 { // it belongs to the INVITE's transaction
+			ack.URI = invite.URI
+			ack.Set("Via", invite.Get("Via"))
+		}
+		e.Back(ack)
+		if _, again := acked.LoadOrStore(key, true); again {
+			return // a retransmission
+		}
+		if e.Msg.Status < 300 && string(e.Msg.Body) != "for "+key {
+			t.Errorf("call %s was answered with %q", key, e.Msg.Body)
+		}
+		r.answer(key, took(key), left)
+	})
+	rng := rand.New(rand.NewPCG(1, 2))
+	pace := time.NewTicker(15 * time.Millisecond) // all at once the module would refuse nearly all
+	defer pace.Stop()
+	for i := range calls {
+		<-pace.C
+		key := fmt.Sprint(1000 + i)
+		begun.Store(key, time.Now())
+		switch rng.IntN(3) {
+		case 0:
+			sid := fmt.Sprintf("%016x", 1000+i)
+			ids.Store(sid, key)
+			fmt.Fprintf(j, `{"msg":"open","sid":%q,"attrs":{"class":"menu-view","left":%d,"key":%q,"extras":"dest:%d;width:1"}}`+"\n",
+				sid, left.Milliseconds(), key, i%4)
+		case 1:
+			m := caller.Invite("UDP", "call"+key, key, "").Set("X-Dest", fmt.Sprint(i%4))
+			send := caller.Send("UDP", n.agent.Addr("UDP"), m)
+			send(m) // a retransmission is no second attempt
+		case 2:
+			caller.Send("TCP", n.agent.Addr("TCP"), caller.Invite("TCP", "call"+key, key, "").Set("X-Dest", fmt.Sprint(i%4)))
+		}
+		if i == calls/2 {
+			hosts[3].State = control.Draining
+			n.applied(routing.Update{Hosts: hosts[3:]})
+			r.mu.Lock()
+			r.drained["drained"] = time.Now()
+			r.mu.Unlock()
+		}
+	}
+	limit := time.After(20 * time.Second)
+	for i := range calls {
+		select {
+		case <-r.answered:
+		case <-limit:
+			t.Fatalf("%d of %d calls answered", i, calls)
+		}
+	}
+	t.Logf("%d attempts for %d calls", r.attempts, calls)
+	if r.attempts < calls/4 {
+		t.Errorf("only %d attempts for %d calls: nothing was tested", r.attempts, calls)
+	}
+}
--- a/cmd/beammux/main.go
+++ b/cmd/beammux/main.go
@@ -18,6 +18,7 @@
 	Serve       serveCmd       `cmd:"" help:"Run the gatekeeper."`
 	Version     versionCmd     `cmd:"" help:"Print the version."`
 	CheckConfig checkConfigCmd `cmd:"" help:"Read a configuration and say whether it is good."`
+	Inventory   inventoryCmd   `cmd:"" help:"Lists of servers as configuration tools keep them."`
 }
 
 type versionCmd struct{}
@@ -37,7 +38,8 @@
 }
 
 type checkConfigCmd struct {
-	File string `arg:"" help:"Configuration file (JSON)." env:"PROXY_CONFIG"`
+	File   string `arg:"" help:"Configuration file (JSON)." env:"PROXY_CONFIG"`
+	Deploy string `help:"The project's own file: SIP front, store, inventory." default:"deploy/beammux.json" env:"BEAMMUX_DEPLOY"`
 }
 
 func (c checkConfigCmd) Run() error {
@@ -45,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := config.LoadDeploy(c.Deploy); err != nil {
+		return err
+	}
 	fmt.Printf("%s: good: gatekeeper %s at %s, %d classes, %d events known\n", c.File, cfg.Name, cfg.Listen,
 		len(cfg.Site.Classes), len(cfg.Known))
 	return nil
--- /dev/null
+++ b/cmd/beammux/node.go
@@ -0,0 +1,342 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/control"
+	"beammux/internal/actor"
+	"beammux/internal/config"
+	"beammux/internal/inventory"
+	"beammux/internal/protocol/bus"
+	"beammux/internal/protocol/jsonl"
+	"beammux/internal/protocol/sip"
+	"beammux/internal/routing"
+	"beammux/internal/store"
+	"beammux/internal/transport"
+)
+
+// Keys of the store and names of the list's sources.
+const (
+	inventoryKey     = "inventory"
+	configurationKey = "configuration/"
+	dialogKey        = "dialog/"
+
+	fromBus   = "bus"
+	fromFile  = "inventory file"
+	fromStore = "inventory in store"
+)
+
+// node is one running gatekeeper: the core, its fronts and what feeds its list.
+type node struct {
+	cfg      *config.Config
+	deploy   *config.Deploy
+	log      logrus.FieldLogger
+	core     *routing.Core
+	list     *routing.List
+	front    *jsonl.Front
+	listener *transport.Listener
+	agent    *sip.Agent // nil while the SIP front is off
+	store    *store.Node
+	stop     context.CancelFunc
+}
+
+// dialer picks the dialect by the form of a server's address.
+type dialer struct {
+	platform *sip.PlatformDialer
+	agent    *sip.Agent
+}
+
+func (d *dialer) Dial(ctx context.Context, addr string, events routing.LineEvents) (routing.Line, error) {
+	if !strings.HasPrefix(addr, "sip:") {
+		return d.platform.Dial(ctx, addr, events)
+	}
+	if d.agent == nil {
+		return nil, fmt.Errorf("server %s needs the SIP front, which is off", addr)
+	}
+	return d.agent.Dial(ctx, addr, events)
+}
+
+// start brings a gatekeeper up. It takes callers once it returns: known servers are loaded by then.
+func start(cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (n *node, err error) {
+	ctx, stop := context.WithCancel(context.Background())
+	n = &node{cfg: cfg, deploy: deploy, log: log, stop: stop}
+	defer func() {
+		if err != nil {
+			stop()
+		}
+	}()
+	files := cfg.Sockets
+	if files <= 0 {
+		files = plainFiles
+	}
+	budget := transport.NewBudget(max(8, files-ownFiles), files/8)
+	timeout := time.Duration(cfg.Site.DialTimeout) * time.Microsecond
+	if timeout <= 0 {
+		timeout = dialTimeout
+	}
+	if err := n.openStore(); err != nil {
+		return nil, err
+	}
+	n.core = routing.NewCore(cfg.Site.Settings, cfg.Seed, log)
+	n.front = jsonl.NewFront(n.core, cfg.Site.ClassNames, log)
+	d := &dialer{platform: &sip.PlatformDialer{Budget: budget, Timeout: timeout, Classes: cfg.Site.ClassNames,
+		Reports: cfg.Site.ReportNames, Log: log}}
+	if deploy.SIPUDP != "" || deploy.SIPTCP != "" {
+		var deadlines []control.Micros
+		for _, c := range cfg.Site.Classes {
+			deadlines = append(deadlines, c.Deadline)
+		}
+		records := newDialogs(n.store, cfg.Name, log)
+		n.agent = sip.NewAgent(n.core, sip.Options{Classes: cfg.Site.ClassNames, Deadlines: deadlines,
+			DefaultClass: deploy.DefaultClass, Reports: cfg.Site.ReportNames, DialTimeout: timeout, Budget: budget,
+			Dialogs: records, Log: log})
+		d.agent = n.agent
+		n.restoreDialogs(records)
+	}
+	n.core.SetOrphans(n)
+	n.list = routing.NewList(n.core, d, log)
+	if err := n.loadServers(); err != nil {
+		return nil, err
+	}
+	if n.listener, err = transport.Listen(cfg.Listen, budget); err != nil {
+		return nil, err
+	}
+	if n.agent != nil {
+		if err := n.agent.Listen(deploy.SIPUDP, deploy.SIPTCP); err != nil {
+			n.listener.Close()
+			return nil, err
+		}
+		log.WithFields(logrus.Fields{"udp": n.agent.Addr("UDP"), "tcp": n.agent.Addr("TCP")}).Info("SIP front serving")
+	}
+	if cfg.Bus != "" {
+		r := &bus.Reader{Addr: cfg.Bus, Last: cfg.Last, Log: log,
+			Apply: func(u routing.Update) {
+				u.Source = fromBus
+				n.list.Apply(u, nil)
+			},
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", addr)
+			}}
+		go r.Run(ctx)
+	}
+	go n.listener.Serve(n.front.Serve)
+	log.WithField("listen", n.listener.Addr().String()).Info("serving")
+	return n, nil
+}
+
+// loadServers gives the list what is known at the start and waits until the module has it.
+func (n *node) loadServers() error {
+	var updates []routing.Update
+	for _, e := range n.cfg.Known {
+		if e.Update != nil {
+			u := *e.Update
+			u.Source = fromBus
+			updates = append(updates, u)
+		}
+	}
+	if n.deploy.Inventory != "" {
+		hosts, err := inventory.Load(n.deploy.Inventory)
+		if err != nil {
+			return err
+		}
+		updates = append(updates, routing.Update{Source: fromFile, Whole: true, Hosts: hosts})
+	}
+	var loaded sync.WaitGroup
+	for _, u := range updates {
+		loaded.Add(1)
+		n.list.Apply(u, loaded.Done)
+	}
+	loaded.Wait()
+	n.store.Watch(inventoryKey, n.imported)
+	if r, ok := n.store.Get(inventoryKey); ok {
+		n.imported(r)
+	}
+	return nil
+}
+
+// imported takes an inventory from the store. A bad one leaves the list as it is.
+func (n *node) imported(r store.Record) {
+	if r.Key != inventoryKey || r.Value == nil {
+		return
+	}
+	hosts, err := parseImported(r.Value)
+	if err != nil {
+		n.log.WithError(err).Error("inventory in store is bad, last good one kept")
+		return
+	}
+	n.list.Apply(routing.Update{Source: fromStore, Whole: true, Hosts: hosts}, nil)
+	n.log.WithFields(logrus.Fields{"servers": len(hosts), "revision": r.Revision}).Info("inventory taken from store")
+}
+
+// reload reads configuration and inventory again. Whatever is bad leaves the last good one in force. The module's
+// settings and the listening addresses are fixed for the life of the process.
+func (n *node) reload(file, deployFile string) {
+	cfg, err := config.Load(file)
+	if err != nil {
+		n.log.WithError(err).Error("reload: configuration is bad, last good one kept")
+		return
+	}
+	deploy, err := config.LoadDeploy(deployFile)
+	if err != nil {
+		n.log.WithError(err).Error("reload: deploy file is bad, last good one kept")
+		return
+	}
+	var hosts []routing.Host
+	if deploy.Inventory != "" {
+		if hosts, err = inventory.Load(deploy.Inventory); err != nil {
+			n.log.WithError(err).Error("reload: inventory is bad, last good one kept")
+			return
+		}
+	}
+	n.list.Apply(routing.Update{Source: fromFile, Whole: true, Hosts: hosts}, nil)
+	n.recordConfiguration(cfg)
+	n.log.WithField("servers", len(hosts)).Info("reloaded inventory; other changes take effect at the next start")
+}
+
+// Orphan passes on the release of a call that stood before this process started.
+func (n *node) Orphan(id string, cause int) {
+	if n.agent == nil {
+		n.front.Orphan(id, cause)
+		return
+	}
+	n.agent.Orphan(id, cause, func() { n.front.Orphan(id, cause) })
+}
+
+// drain answers all that was taken, then ends.
+func (n *node) drain() {
+	n.log.Info("draining: answering what was taken")
+	n.front.Drain()
+	if n.agent != nil {
+		n.agent.Drain()
+	}
+	time.Sleep(takeFor)
+	n.listener.Close()
+	time.Sleep(openFor - takeFor)
+	drained := make(chan struct{}, 1)
+	n.core.Drained(func() {
+		select {
+		case drained <- struct{}{}:
+		default:
+		}
+	})
+	<-drained
+	n.listener.Finish(flushFor)
+	if n.agent != nil {
+		n.agent.Close()
+	}
+	n.stop()
+	n.store.Close()
+	n.log.Info("drained")
+}
+
+// ---- Store ----
+
+func (n *node) openStore() error {
+	o := store.Options{Node: n.deploy.StoreNode, Log: n.log}
+	if o.Node == "" {
+		o.Node = n.cfg.Name
+	}
+	if o.Node == "" {
+		o.Node = "beammux"
+	}
+	for _, p := range n.deploy.StorePeers {
+		o.Peers = append(o.Peers, store.Peer{Node: p.Node, Address: p.Address})
+	}
+	if len(o.Peers) > 0 {
+		l, err := net.Listen("tcp", n.deploy.StoreListen)
+		if err != nil {
+			return err
+		}
+		o.Listener = l
+	}
+	s, err := store.Open(o)
+	if err != nil {
+		if o.Listener != nil {
+			o.Listener.Close()
+		}
+		return err
+	}
+	n.store = s
+	n.recordConfiguration(n.cfg)
+	return nil
+}
+
+const storeWithin = 10 * time.Second
+
+// recordConfiguration notes in the store what this gatekeeper runs with. Nothing waits for it.
+func (n *node) recordConfiguration(cfg *config.Config) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeWithin)
+		defer cancel()
+		if _, err := n.store.Put(ctx, configurationKey+cfg.Name, cfg.Text); err != nil {
+			n.log.WithError(err).Warn("store: configuration not recorded")
+		}
+	}()
+}
+
+// restoreDialogs takes back the calls that stood before this process started, where the group still knows them. Its
+// records arrive once this member has caught up with the group.
+func (n *node) restoreDialogs(own *dialogs) {
+	take := func(r store.Record) {
+		if r.Value == nil || own.wrote(r.Key) {
+			return
+		}
+		if err := n.agent.Restore(r.Value); err != nil {
+			n.log.WithError(err).WithField("record", r.Key).Warn("store: dialog can't be read")
+		}
+	}
+	n.store.Watch(own.prefix, take)
+	for _, r := range n.store.List(own.prefix) {
+		take(r)
+	}
+}
+
+// dialogs writes records of dialogs in order, from a goroutine of its own: no call waits for the store.
+type dialogs struct {
+	*actor.Actor
+	store  store.Store
+	prefix string
+	log    logrus.FieldLogger
+	own    sync.Map // keys that this process put and has not deleted: it needs no record to know them
+}
+
+func newDialogs(s store.Store, node string, log logrus.FieldLogger) *dialogs {
+	return &dialogs{Actor: actor.New(), store: s, prefix: dialogKey + node + "/", log: log}
+}
+
+func (d *dialogs) wrote(key string) bool {
+	_, ok := d.own.Load(key)
+	return ok
+}
+
+func (d *dialogs) write(what string, f func(context.Context) error) {
+	d.Post(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeWithin)
+		defer cancel()
+		if err := f(ctx); err != nil {
+			d.log.WithError(err).Warn("store: dialog not " + what)
+		}
+	})
+}
+
+func (d *dialogs) Put(key string, value []byte) {
+	d.own.Store(d.prefix+key, nil)
+	d.write("recorded", func(ctx context.Context) error {
+		_, err := d.store.Put(ctx, d.prefix+key, value)
+		return err
+	})
+}
+
+func (d *dialogs) Delete(key string) {
+	d.write("deleted", func(ctx context.Context) error {
+		defer d.own.Delete(d.prefix + key) // not before: the record may be committed only now
+		return d.store.Delete(ctx, d.prefix+key)
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	Last         int64       // number of the last event in Known
 	Known        []bus.Event // events up to the start
 	Site         *control.Site
+	Text         []byte // the file as it was
 }
 
 // Error is a fault by file and key.
@@ -42,6 +43,9 @@
 		return nil, &Error{file, "", "can't be read: " + err.Error()}
 	}
 	c, err := parse(text)
+	if c != nil {
+		c.Text = text
+	}
 	if e, ok := err.(*Error); ok {
 		e.File = file
 	}
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -430,6 +430,9 @@
 		return err
 	}
 	a.Post(func() {
+		if a.byID[d.storeKey()] != nil {
+			return // of this process
+		}
 		// Requests that were sent and not recorded must not have their numbers used again.
 		d.LocalSeq += 16
 		a.dialogs[d.key()] = d
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -20,10 +20,11 @@
 	Since control.Micros
 }
 
-// Update is one change of the list, or where Whole is set all of it.
+// Update is one change of the list, or where Whole is set all that its source knows. Servers of other sources stay.
 type Update struct {
-	Whole bool
-	Hosts []Host
+	Source string
+	Whole  bool
+	Hosts  []Host
 }
 
 // List is the actor that owns the list of servers and their peers. Buses and inventories feed it.
@@ -38,8 +39,9 @@
 
 type listed struct {
 	Host
-	id   uint32
-	peer *Peer
+	source string
+	id     uint32
+	peer   *Peer
 }
 
 // NewList makes an empty list whose changes go to a core.
@@ -63,14 +65,15 @@
 	named := map[string]bool{}
 	for _, h := range u.Hosts {
 		named[h.Name] = true
-		if e, ok := l.host(h); ok {
+		if e, ok := l.host(u.Source, h); ok {
 			entries = append(entries, e)
 		}
 	}
 	if u.Whole {
 		for name, old := range l.hosts {
-			if !named[name] {
+			if old.source == u.Source && !named[name] {
 				l.drop(old)
+				entries = append(entries, control.Entry{Server: old.id, Cell: old.Cell, State: control.Gone})
 			}
 		}
 	}
@@ -80,12 +83,12 @@
 	}
 	l.core.Post(func() {
 		l.core.peers = peers
-		l.core.handle(control.List{Delta: !u.Whole, Entries: entries})
+		l.core.handle(control.List{Delta: true, Entries: entries})
 	})
 }
 
 // host takes one entry. The peer hears of its state before the module does, so that nothing stale slips out between.
-func (l *List) host(h Host) (control.Entry, bool) {
+func (l *List) host(source string, h Host) (control.Entry, bool) {
 	old := l.hosts[h.Name]
 	if h.State == control.Gone {
 		if old == nil {
@@ -108,7 +111,7 @@
 		p := old.peer
 		l.core.Post(func() { l.core.died(p, h.Since) })
 	}
-	old.Host = h
+	old.Host, old.source = h, source
 	old.peer.set(h.State)
 	return control.Entry{Server: old.id, Cell: h.Cell, State: h.State, Since: h.Since}, true
 }
