--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -28,6 +28,9 @@
 	Deadline control.Micros
 }
 
+// NewAttempt names an attempt.
+func NewAttempt(id string, number int) Attempt { return Attempt{ref: ref{id, number}} }
+
 // ID is the call's id.
 func (r ref) ID() string { return r.id }
 
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,441 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"beammux/control"
+)
+
+// The same steps each time: a verdict must not change from run to run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201")
+	os.Exit(m.Run())
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// wire is a stand-in for a server and the way to it: it notes what it is told, and the test says what happens.
+type wire struct {
+	dials  int
+	refuse error // of the next dials
+	events LineEvents
+	held   bool               // writes wait in a queue
+	queue  []func()           // writes that wait
+	out    map[string]Attempt // set-ups that are out
+	copies map[string]int     // most attempts of a call out at once
+	stands map[string]bool
+	byes   map[string]int
+	stale  int
+	closed int
+}
+
+func newWire() *wire {
+	return &wire{out: map[string]Attempt{}, copies: map[string]int{}, stands: map[string]bool{}, byes: map[string]int{}}
+}
+
+func (w *wire) Dial(_ context.Context, _ string, e LineEvents) (Line, error) {
+	w.dials++
+	if w.refuse != nil {
+		return nil, w.refuse
+	}
+	w.events = e
+	return wireLine{w, e}, nil
+}
+
+type wireLine struct {
+	*wire
+	e LineEvents
+}
+
+func (l wireLine) Setup(a Attempt, still func() bool) {
+	write := func() {
+		if !still() {
+			l.stale++
+			l.e.Failed(a, Outcome{Code: control.NotSent})
+			return
+		}
+		if _, twice := l.out[a.ID()]; twice {
+			l.copies[a.ID()]++
+		}
+		l.out[a.ID()] = a
+	}
+	if l.held {
+		l.queue = append(l.queue, write)
+	} else {
+		write()
+	}
+}
+
+func (l wireLine) Cancel(id string)         { delete(l.out, id) }
+func (l wireLine) Release(id string, _ int) { l.byes[id]++; delete(l.stands, id) }
+func (l wireLine) Close()                   { l.closed++ }
+
+func (w *wire) answer(id, body string) {
+	a := w.out[id]
+	delete(w.out, id)
+	w.stands[id] = true
+	w.events.Answered(a, []byte(body))
+}
+
+func (w *wire) reset() {
+	e := w.events
+	w.events, w.out = nil, map[string]Attempt{}
+	e.Down(fmt.Errorf("read: %w", syscall.ECONNRESET))
+}
+
+// caller notes what a caller is told.
+type caller struct {
+	finals, releases int
+	stood            bool
+	body             string
+	wait             time.Duration
+	deaf             bool
+}
+
+func (c *caller) Answer(b []byte) bool      { c.finals++; c.stood, c.body = true, string(b); return !c.deaf }
+func (c *caller) Refuse(wait time.Duration) { c.finals++; c.wait = wait }
+func (c *caller) Fail()                     { c.finals++ }
+func (c *caller) Release(int)               { c.releases++ }
+
+func settings() control.Settings {
+	return control.Settings{Fronts: 1, Here: -1, AttemptsCap: 5, Cancel: true, RetryAfter: true, MaxRetryAfter: 2e6,
+		ReleaseGuard: 300000, ResendGap: 500000, FallMultiple: 2, FallTime: 1e6, StartCapacity: 0.33, WarmWithin: 15e6,
+		Classes: []control.Class{{Aim: 1500000, Deadline: 3e6, Worth: 1, LateWorth: 0.25}}}
+}
+
+type bench struct {
+	core  *Core
+	list  *List
+	wires map[string]*wire
+}
+
+func (b *bench) Dial(ctx context.Context, addr string, e LineEvents) (Line, error) {
+	return b.wires[addr].Dial(ctx, addr, e)
+}
+
+func newBench(servers ...string) *bench {
+	b := &bench{wires: map[string]*wire{}}
+	b.core = NewCore(settings(), 1, quiet())
+	b.list = NewList(b.core, b, quiet())
+	for _, name := range servers {
+		b.wires[name] = newWire()
+	}
+	for i, name := range servers {
+		b.set(name, i, control.Ready)
+	}
+	synctest.Wait()
+	return b
+}
+
+func (b *bench) set(name string, cell int, s control.State) {
+	b.list.Apply(Update{Hosts: []Host{{Name: name, Addr: name, Cell: cell, State: s}}}, nil)
+}
+
+// end stops all actors, as a bubble must be empty at its end.
+func (b *bench) end() {
+	for _, h := range b.list.hosts {
+		h.peer.Stop()
+		h.peer.stopDial()
+	}
+	b.sleep(2 * lingerFor)
+	b.list.Stop()
+	b.core.Stop()
+	synctest.Wait()
+}
+
+// sleep lets time pass. Before, it posts to each actor: what the test has read is then read before what comes next.
+func (b *bench) sleep(d time.Duration) {
+	nothing := func() {}
+	for _, h := range b.list.hosts {
+		h.peer.Post(nothing)
+	}
+	b.core.Post(nothing)
+	synctest.Wait()
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (b *bench) call(id string, left time.Duration) *caller {
+	c := &caller{}
+	b.core.Open(Setup{ID: id, FirstChoice: 0, Left: left}, c)
+	synctest.Wait()
+	return c
+}
+
+// Guards against a stale send: a set-up that waits to be written while its server drains is never sent.
+func TestStateIsCheckedAtTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		w := b.wires["a"]
+		w.held = true
+		c := b.call("1", time.Second)
+		b.set("a", 0, control.Draining)
+		synctest.Wait()
+		for _, write := range w.queue {
+			write()
+		}
+		synctest.Wait()
+		if w.stale != 1 || len(w.out) != 0 || c.finals != 1 {
+			t.Errorf("stale %d, out %d, finals %d; want 1, 0, 1", w.stale, len(w.out), c.finals)
+		}
+	})
+}
+
+// Guards against a call that only the server holds: a late answer, and an answer that can't be told, are released.
+func TestLateAndUndeliverableAnswersAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		w := b.wires["a"]
+		c := b.call("1", time.Second)
+		late := w.out["1"]
+		b.sleep(2 * time.Second)
+		w.events.Answered(late, nil)
+		synctest.Wait()
+		if c.finals != 1 || c.stood || w.byes["1"] != 1 {
+			t.Errorf("late: finals %d, stood %v, byes %d", c.finals, c.stood, w.byes["1"])
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		w := b.wires["a"]
+		d := b.call("2", time.Second)
+		d.deaf = true
+		w.answer("2", "")
+		synctest.Wait()
+		if w.byes["2"] != 1 {
+			t.Errorf("undeliverable: byes %d, want 1", w.byes["2"])
+		}
+	})
+}
+
+// Guards against calls left standing: a process that was reset and then refuses is dead, and so is one that is removed.
+func TestCallsOfADeadServerAreReleased(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench("a")
+			defer b.end()
+			w := b.wires["a"]
+			c := b.call("1", time.Second)
+			w.answer("1", "body")
+			synctest.Wait()
+			if c.body != "body" {
+				t.Fatalf("body %q", c.body)
+			}
+			if removed {
+				b.set("a", 0, control.Gone)
+			} else {
+				w.refuse = syscall.ECONNREFUSED
+				w.reset()
+			}
+			synctest.Wait()
+			if c.releases != 1 {
+				t.Errorf("removed %v: %d releases, want 1", removed, c.releases)
+			}
+		})
+	}
+}
+
+// A line that merely closes takes no standing call with it; it is opened again and brings the release.
+func TestStandingCallsOutliveConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		w := b.wires["a"]
+		c := b.call("1", time.Second)
+		w.answer("1", "")
+		synctest.Wait()
+		w.reset()
+		synctest.Wait()
+		if c.releases != 0 || w.dials != 2 {
+			t.Fatalf("releases %d, dials %d; want 0, 2", c.releases, w.dials)
+		}
+		w.events.Released("1", CauseNormal, nil)
+		w.events.Released("1", CauseNormal, nil) // told on the next connection too
+		synctest.Wait()
+		if c.releases != 1 {
+			t.Errorf("%d releases, want 1", c.releases)
+		}
+	})
+}
+
+type orphans map[string]int
+
+func (o orphans) Orphan(id string, _ int) { o[id]++ }
+
+// Guards against calls from before a restart being left standing at their callers.
+func TestReleaseOfAnUnknownCallIsPassedOnOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		o := orphans{}
+		b.core.SetOrphans(o)
+		for range 2 {
+			b.wires["a"].events.Released("old", CauseNormal, nil)
+		}
+		synctest.Wait()
+		if o["old"] != 1 {
+			t.Errorf("passed on %d times, want 1", o["old"])
+		}
+	})
+}
+
+// An address used by a new id is a new server; one that moves gets a new line.
+func TestAddressIsReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		w := b.wires["a"]
+		b.list.Apply(Update{Hosts: []Host{{Name: "a", Addr: "a", State: control.Gone},
+			{Name: "s-00000002", Addr: "a", State: control.Ready}}}, nil)
+		synctest.Wait()
+		c := b.call("1", time.Second)
+		if w.dials != 2 || len(w.out) != 1 {
+			t.Fatalf("dials %d, out %d; want 2, 1", w.dials, len(w.out))
+		}
+		w.answer("1", "")
+		synctest.Wait()
+		if !c.stood {
+			t.Error("the call does not stand at the new server")
+		}
+	})
+}
+
+// A whole list takes away only what its own source named.
+func TestSourcesDoNotRemoveEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		defer b.end()
+		b.wires["a"], b.wires["b"] = newWire(), newWire()
+		b.list.Apply(Update{Source: "bus", Whole: true, Hosts: []Host{{Name: "a", Addr: "a", State: control.Ready}}}, nil)
+		b.list.Apply(Update{Source: "file", Whole: true, Hosts: []Host{{Name: "b", Addr: "b", State: control.Ready}}}, nil)
+		synctest.Wait()
+		b.list.Apply(Update{Source: "file", Whole: true}, nil)
+		synctest.Wait()
+		if b.wires["a"].closed != 0 || b.wires["b"].closed != 1 {
+			t.Errorf("closed %d and %d, want 0 and 1", b.wires["a"].closed, b.wires["b"].closed)
+		}
+	})
+}
+
+// model is what a caller may see, whatever happens at the wires.
+type model struct {
+	caller *caller
+	opened time.Time
+	gone   bool // withdrawn by the caller
+	over   bool // released by the caller
+}
+
+// Random steps at two servers and many callers, against the model of a call: one final answer in time, an attempt out
+// at one server at most, one release after an answer and none before.
+func TestRandomSteps(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			b := newBench("a", "b")
+			defer b.end()
+			calls := map[string]*model{}
+			const left = 900 * time.Millisecond
+			pick := func(kind string, w *wire) string {
+				var ids []string
+				for i := range len(calls) {
+					id := fmt.Sprint(i)
+					if _, out := w.out[id]; kind == "out" && out || kind == "stands" && w.stands[id] || kind == "" {
+						ids = append(ids, id)
+					}
+				}
+				if len(ids) == 0 {
+					return ""
+				}
+				return rapid.SampledFrom(ids).Draw(r, "call")
+			}
+			check := func() {
+				synctest.Wait()
+				for id, m := range calls {
+					_, atA := b.wires["a"].out[id]
+					_, atB := b.wires["b"].out[id]
+					c := m.caller
+					switch {
+					case atA && atB, b.wires["a"].copies[id] > 0, b.wires["b"].copies[id] > 0:
+						r.Fatalf("call %s is out twice", id)
+					case c.finals > 1, c.releases > 1, c.releases > 0 && !c.stood:
+						r.Fatalf("call %s: %d final answers, %d releases", id, c.finals, c.releases)
+					case c.finals == 0 && !m.gone && time.Since(m.opened) > left+20*time.Millisecond:
+						r.Fatalf("call %s has no answer after %v", id, time.Since(m.opened))
+					case m.over && (b.wires["a"].stands[id] || b.wires["b"].stands[id]) && b.wires["a"].events != nil && b.wires["b"].events != nil:
+						r.Fatalf("call %s is over and still stands at a server", id)
+					}
+				}
+			}
+			for range rapid.IntRange(5, 60).Draw(r, "steps") {
+				name := rapid.SampledFrom([]string{"a", "b"}).Draw(r, "server")
+				w := b.wires[name]
+				switch step := rapid.IntRange(0, 10).Draw(r, "step"); step {
+				case 0, 1, 2:
+					id := fmt.Sprint(len(calls))
+					calls[id] = &model{caller: &caller{}, opened: time.Now()}
+					b.core.Open(Setup{ID: id, FirstChoice: rapid.IntRange(0, 1).Draw(r, "first"), Left: left}, calls[id].caller)
+				case 3, 4:
+					if id := pick("out", w); id != "" && w.events != nil {
+						w.answer(id, "")
+					}
+				case 5:
+					if id := pick("out", w); id != "" && w.events != nil {
+						a := w.out[id]
+						delete(w.out, id)
+						code := rapid.SampledFrom([]control.Code{control.Failed, control.Full, control.Cut, control.NotSent}).Draw(r, "code")
+						w.events.Failed(a, Outcome{Code: code})
+					}
+				case 6:
+					if id := pick("stands", w); id != "" && w.events != nil {
+						delete(w.stands, id)
+						w.events.Released(id, rapid.SampledFrom([]int{CauseNormal, CauseFailed}).Draw(r, "cause"), nil)
+					}
+				case 7:
+					if id := pick("", w); id != "" {
+						calls[id].gone = true
+						b.core.Withdraw(id, nil)
+					}
+				case 8:
+					if id := pick("", w); id != "" {
+						calls[id].gone, calls[id].over = true, true
+						b.core.Hangup(id, CauseNormal, nil)
+					}
+				case 9:
+					if w.events != nil {
+						w.refuse = rapid.SampledFrom([]error{nil, errors.New("unreachable"), syscall.ECONNREFUSED}).Draw(r, "dial")
+						if w.refuse == syscall.ECONNREFUSED {
+							w.stands = map[string]bool{} // the process died
+						}
+						w.reset()
+					} else {
+						w.refuse = nil
+					}
+				case 10:
+					b.set(name, int(name[0]-'a'), rapid.SampledFrom([]control.State{control.Ready, control.Draining}).Draw(r, "state"))
+				}
+				check()
+				b.sleep(time.Duration(rapid.IntRange(0, 400).Draw(r, "ms")) * time.Millisecond)
+				check()
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/transport/conn_test.go
@@ -0,0 +1,173 @@
+package transport
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The same steps each time: a verdict must not change from run to run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201")
+	os.Exit(m.Run())
+}
+
+// Guards against a silent peer (its machine gone) blocking whoever sends: Send returns, and the connection is given up.
+func TestSilentPeerBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := NewConn(near, nil)
+		faults := 0
+		for range 3 {
+			c.Send(Packet{Data: []byte("x"), Done: func(err error) {
+				if err != nil {
+					faults++
+				}
+			}})
+		}
+		time.Sleep(writeTimeout + time.Millisecond)
+		synctest.Wait()
+		if faults != 3 || c.Send(Packet{}) == nil {
+			t.Errorf("%d of 3 packets were told their fault", faults)
+		}
+	})
+}
+
+func TestOverfullQueueClosesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		gone := 0
+		c := NewConn(near, func() { gone++ })
+		var err error
+		for i := 0; i <= MaxQueued+1 && err == nil; i += 1 << 10 {
+			err = c.Send(Packet{Data: make([]byte, 1<<10)})
+		}
+		synctest.Wait()
+		if err == nil && c.Send(Packet{Data: make([]byte, MaxQueued)}) != ErrOverflow {
+			t.Error("the queue has no bound")
+		}
+		synctest.Wait()
+		if gone != 1 {
+			t.Errorf("closed %d times, want once", gone)
+		}
+	})
+}
+
+// Random steps against a model of the connection: open, ending or closed; packets go out in order, whole, or their Done
+// says why not; Still is asked at the first byte and not before.
+func TestConnAgainstModel(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			near, far := net.Pipe()
+			c := NewConn(near, nil)
+			var want, got bytes.Buffer
+			var told, sent int
+			still := true
+			reading := make(chan struct{}, 99)
+			read := make(chan struct{})
+			go func() {
+				defer close(read)
+				for range reading {
+					b := make([]byte, 1)
+					if _, err := io.ReadFull(far, b); err != nil {
+						return
+					}
+					got.Write(b)
+				}
+				io.Copy(&got, far)
+			}()
+			open := true
+			for i := range rapid.IntRange(1, 30).Draw(r, "steps") {
+				switch rapid.IntRange(0, 9).Draw(r, "step") {
+				case 0, 1, 2, 3, 4:
+					b := byte(i)
+					err := c.Send(Packet{Data: []byte{b}, Still: func() bool { return still }, Done: func(err error) {
+						told++
+						if err == nil {
+							want.WriteByte(b)
+						} else if still && errors.Is(err, ErrDropped) {
+							r.Fatalf("dropped while it still held")
+						}
+					}})
+					if (err == nil) != open {
+						r.Fatalf("Send gives %v, open %v", err, open)
+					}
+					if err == nil {
+						sent++
+					}
+				case 5, 6, 7:
+					reading <- struct{}{}
+				case 8:
+					still = !still
+				case 9:
+					if rapid.Bool().Draw(r, "finish") {
+						c.Finish()
+					} else {
+						c.Close()
+					}
+					open = false
+				}
+				synctest.Wait()
+				if open && told < got.Len() {
+					r.Fatalf("%d packets told of %d read", told, got.Len())
+				}
+			}
+			close(reading)
+			c.Finish()
+			<-read
+			synctest.Wait()
+			if told != sent || !bytes.Equal(want.Bytes(), got.Bytes()) {
+				r.Fatalf("%d of %d packets told; wrote %v, read %v", told, sent, want.Bytes(), got.Bytes())
+			}
+			far.Close()
+		})
+	})
+}
+
+// Guards against callers taking the descriptors that servers need.
+func TestBudgetKeepsAReserve(t *testing.T) {
+	b := NewBudget(4, 2)
+	l, err := Listen("127.0.0.1:0", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := make(chan *Conn, 4)
+	go l.Serve(func(c *Conn) { held <- c; <-c.Gone() })
+	defer l.Close()
+	var conns []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	a, z := <-held, <-held
+	defer a.Close()
+	defer z.Close()
+	conns[2].SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := conns[2].Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the third connection was not closed: %v", err)
+	}
+	d, err := b.Dial(t.Context(), l.Addr().String(), time.Second)
+	if err != nil {
+		t.Errorf("no descriptor for a server: %v", err)
+	} else {
+		d.Close()
+	}
+	if n := b.Used(); n < 2 || n > 3 {
+		t.Errorf("%d descriptors in use", n)
+	}
+}
