--- a/cmd/beammux/node.go
+++ b/cmd/beammux/node.go
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	n.core = routing.NewCore(cfg.Site.Settings, cfg.Seed, log)
-	n.front = jsonl.NewFront(n.core, cfg.Site.ClassNames, log)
+	n.front = jsonl.NewFront(restarted{n.core, n}, cfg.Site.ClassNames, log)
 	d := &dialer{platform: &sip.PlatformDialer{Budget: budget, Timeout: timeout, Classes: cfg.Site.ClassNames,
 		Reports: cfg.Site.ReportNames, Log: log}}
 	if deploy.SIPUDP != "" || deploy.SIPTCP != "" {
@@ -209,6 +209,22 @@
 	n.agent.Orphan(id, cause, func() { n.front.Orphan(id, cause) })
 }
 
+// restarted is the core as the JSON front sees it: it also ends calls that stand at SIP servers since before this
+// process started.
+type restarted struct {
+	*routing.Core
+	node *node
+}
+
+func (r restarted) Hangup(id string, cause int, done func(known bool)) {
+	r.Core.Hangup(id, cause, func(known bool) {
+		if !known && r.node.agent != nil {
+			r.node.agent.OrphanHangup(id, cause)
+		}
+		done(known)
+	})
+}
+
 // drain answers all that was taken, then ends.
 func (n *node) drain() {
 	n.log.Info("draining: answering what was taken")
--- /dev/null
+++ b/cmd/beammux/node_test.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"beammux/control"
+	"beammux/internal/config"
+	"beammux/internal/protocol/sip/siptest"
+	"beammux/internal/routing"
+	"beammux/internal/store"
+)
+
+// slowly answers set-ups of the platform after a time.
+func slowly(after time.Duration) func(*siptest.Party, siptest.Entry) {
+	return func(p *siptest.Party, e siptest.Entry) {
+		if siptest.Is("INVITE")(e.Msg) {
+			time.AfterFunc(after, func() { e.Back(p.Reply(e.Msg, 200, "OK", "for "+keyOf(e.Msg))) })
+		}
+	}
+}
+
+func open(c net.Conn, sid, key string, left int) {
+	fmt.Fprintf(c, `{"msg":"open","sid":%q,"attrs":{"class":"menu-view","left":%d,"key":%q}}`+"\n", sid, left, key)
+}
+
+// Guards against calls lost at a planned restart: SIGTERM's drain takes new connections on, and answers what was taken
+// before it ends.
+func TestDrainAnswersWhatWasTaken(t *testing.T) {
+	n := testNode(t, &config.Deploy{})
+	server := siptest.New(t, slowly(900*time.Millisecond))
+	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
+	answers := make(chan string, 9)
+	on := func(m map[string]any) { answers <- fmt.Sprint(m["sid"], " ", m["msg"], " ", m["code"]) }
+	c := dialJSON(t, n, on)
+	open(c, "0000000000000001", "1", 3000)
+	server.Wait("INVITE", siptest.Is("INVITE"))
+	drained := make(chan struct{})
+	go func() { n.drain(); close(drained) }()
+	late := dialJSON(t, n, on) // a connection that comes after SIGTERM is taken, but its test fails
+	fmt.Fprintln(late, `{"msg":"probe","sid":"0000000000000002","attrs":{},"code":0}`)
+	open(late, "0000000000000003", "3", 3000)
+	got := map[string]bool{}
+	for range 3 {
+		select {
+		case a := <-answers:
+			got[a] = true
+		case <-time.After(10 * time.Second):
+			t.Fatalf("answers so far: %v", got)
+		}
+	}
+	<-drained
+	if !got["0000000000000001 ready <nil>"] || !got["0000000000000002 probed 0"] && !got["0000000000000002 probed 1"] {
+		t.Errorf("answers %v", got)
+	}
+	if _, err := net.Dial("tcp", n.listener.Addr().String()); err == nil {
+		t.Error("still listening")
+	}
+}
+
+// A gatekeeper that starts again finds its dialogs in the store and passes the server's BYE on to the caller.
+func TestDialogsOutliveTheProcess(t *testing.T) {
+	first := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0"})
+	server := siptest.New(t, func(p *siptest.Party, e siptest.Entry) {
+		if siptest.Is("INVITE")(e.Msg) {
+			e.Back(p.Reply(e.Msg, 200, "OK", ""))
+		}
+	})
+	first.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.URI("UDP"), State: control.Ready}}})
+	caller := siptest.New(t, nil)
+	m := caller.Invite("UDP", "abc", "1", "").Set("X-Cos", "menu-view")
+	send := caller.Send("UDP", first.agent.Addr("UDP"), m)
+	send(siptest.Within(m, caller.Wait("answer", siptest.Status(200, "INVITE")).Msg, "ACK", 1))
+	in := server.Wait("INVITE", siptest.Is("INVITE"))
+	server.Wait("ACK", siptest.Is("ACK"))
+
+	records := make(chan store.Record, 9)
+	first.store.Watch(dialogKey, func(r store.Record) { records <- r })
+	for _, r := range first.store.List(dialogKey) {
+		records <- r
+	}
+	second := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0"})
+	for seen := map[string]bool{}; len(seen) < 2; { // both sides of the call, as the group would bring them
+		select {
+		case r := <-records:
+			if !seen[r.Key] {
+				seen[r.Key] = true
+				if err := second.agent.Restore(r.Value); err != nil {
+					t.Fatal(err)
+				}
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("records of %v only", seen)
+		}
+	}
+	first.agent.Close()
+	bye := siptest.Bye(in.Msg, server.Reply(in.Msg, 200, "OK", ""), 16)
+	server.Send("UDP", second.agent.Addr("UDP"), bye)
+	server.Wait("200 to BYE", siptest.Status(200, "BYE"))
+	caller.Wait("BYE", siptest.Is("BYE"))
+}
+
+// An inventory imported into the store becomes the list; a bad one leaves it as it is.
+func TestImportedInventory(t *testing.T) {
+	n := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0"})
+	server := siptest.New(t, slowly(0))
+	for _, text := range []string{".csv\nname,address\na," + server.Addr("TCP") + "\n", ".csv\nname,address\na,nowhere\n"} {
+		if _, err := n.store.Put(t.Context(), inventoryKey, []byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.applied(routing.Update{Source: fromBus})
+	answers := make(chan map[string]any, 1)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- m })
+	open(c, "0000000000000001", "1", 2000)
+	if m := <-answers; m["msg"] != "ready" {
+		t.Errorf("%v", m)
+	}
+}
+
+// SIGHUP with a bad inventory keeps the last good one.
+func TestReloadKeepsTheLastGoodInventory(t *testing.T) {
+	server := siptest.New(t, slowly(0))
+	dir := t.TempDir()
+	inv, deploy, cfg := filepath.Join(dir, "servers.csv"), filepath.Join(dir, "deploy.json"), filepath.Join(dir, "config.json")
+	write := func(file, text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	path, _ := json.Marshal(inv)
+	write(deploy, `{"inventory":`+string(path)+`}`)
+	write(cfg, `{"listen":"127.0.0.1:0","settings":`+testSettings+`}`)
+	write(inv, "name,address\na,"+server.Addr("TCP")+"\n")
+	n := testNode(t, &config.Deploy{Inventory: inv})
+	for i, text := range []string{"name,address\na,bad\n", "", "name\n"} {
+		write(inv, text)
+		n.reload(cfg, deploy)
+		n.applied(routing.Update{Source: fromBus})
+		answers := make(chan map[string]any, 1)
+		c := dialJSON(t, n, func(m map[string]any) { answers <- m })
+		sid := fmt.Sprintf("%016x", i+1)
+		open(c, sid, "1", 2000)
+		if m := <-answers; m["msg"] != "ready" {
+			t.Errorf("after %q: %v", text, m)
+		}
+	}
+	write(inv, "name,address\n")
+	n.reload(cfg, deploy)
+	n.applied(routing.Update{Source: fromBus})
+	answers := make(chan map[string]any, 1)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- m })
+	open(c, "00000000000000ff", "1", 2000)
+	if m := <-answers; m["msg"] != "close" || m["code"] != 34.0 {
+		t.Errorf("an empty inventory still has a server: %v", m)
+	}
+}
+
+// A server that needs the SIP front while that is off is out of reach, and the call is refused and not lost.
+func TestSIPServerWithoutSIPFront(t *testing.T) {
+	n := testNode(t, &config.Deploy{})
+	n.applied(routing.Update{Hosts: []routing.Host{{Name: "a", Addr: "sip:127.0.0.1:9;transport=udp", State: control.Ready}}})
+	answers := make(chan map[string]any, 1)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- m })
+	open(c, "0000000000000001", "1", 1000)
+	if m := <-answers; m["msg"] != "close" || !strings.Contains(fmt.Sprint(m["attrs"]), "wait") {
+		t.Errorf("%v", m)
+	}
+}
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -452,6 +452,15 @@
 	})
 }
 
+// OrphanHangup ends the server's side of a call that only the store remembers: its caller has hung up.
+func (a *Agent) OrphanHangup(id string, cause int) {
+	a.Post(func() {
+		if d := a.byID[id+"/server"]; d != nil {
+			a.hangup(d, cause)
+		}
+	})
+}
+
 // hangup ends a dialog by BYE, once.
 func (a *Agent) hangup(d *dialog, cause int) {
 	if d.ended {
@@ -546,11 +555,7 @@
 	if !d.Server {
 		a.core.Hangup(d.ID, why, func(known bool) {
 			if !known {
-				a.Post(func() {
-					if other := a.byID[d.ID+"/server"]; other != nil {
-						a.hangup(other, why)
-					}
-				})
+				a.OrphanHangup(d.ID, why)
 			}
 		})
 		return
