--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -336,6 +336,28 @@
 	}
 }
 
+// A BYE may not overtake the confirmation of its call: it waits for the ACK (RFC 3261, 15).
+func TestByeWaitsForAck(t *testing.T) {
+	server := New(t, answering)
+	b := newBench(t, time.Second, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	invite := caller.Invite("UDP", "abc", "4711", "")
+	send := caller.Send("UDP", b.agent.Addr("UDP"), invite)
+	ok := caller.Wait("answer", Status(200, "INVITE")).Msg
+	in := server.Wait("INVITE", Is("INVITE"))
+	server.Wait("ACK", Is("ACK"))
+	in.Back(Bye(in.Msg, server.Reply(in.Msg, 200, "OK", ""), 16))
+	server.Wait("200 to BYE", Status(200, "BYE"))
+	// A second call goes the way that the release went: once it is answered, the release has reached the agent.
+	caller.Send("UDP", b.agent.Addr("UDP"), caller.Invite("UDP", "second", "4712", ""))
+	caller.Wait("second answer", func(m *sip.Message) bool { return Status(200, "INVITE")(m) && m.Get("Call-ID") == "second" })
+	if n := caller.Count(Is("BYE")); n != 0 {
+		t.Errorf("%d BYEs before the ACK", n)
+	}
+	send(Within(invite, ok, "ACK", 1))
+	caller.Wait("BYE", Is("BYE"))
+}
+
 // A forked answer stands once: the second is confirmed and released.
 func TestSecondForkIsReleased(t *testing.T) {
 	server := New(t, func(p *Party, e Entry) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -278,6 +278,30 @@
 	})
 }
 
+// An attempt ends once: what the wire tells of it later changes nothing.
+func TestAttemptEndsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		w := b.wires["a"]
+		c := b.call("1", time.Second)
+		a := w.out["1"]
+		w.answer("1", "")
+		w.events.Answered(a, nil)
+		w.events.Failed(a, Outcome{Code: control.Failed})
+		synctest.Wait()
+		if c.finals != 1 || w.byes["1"] != 0 {
+			t.Errorf("finals %d, byes %d; want 1, 0", c.finals, w.byes["1"])
+		}
+		w.events.Released("1", CauseNormal, nil)
+		w.events.Failed(a, Outcome{Code: control.Failed})
+		synctest.Wait()
+		if c.finals != 1 || c.releases != 1 {
+			t.Errorf("finals %d, releases %d; want 1, 1", c.finals, c.releases)
+		}
+	})
+}
+
 type orphans map[string]int
 
 func (o orphans) Orphan(id string, _ int) { o[id]++ }
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -92,12 +92,14 @@
 				switch rapid.IntRange(0, 9).Draw(r, "step") {
 				case 0, 1, 2, 3, 4:
 					b := byte(i)
-					err := c.Send(Packet{Data: []byte{b}, Still: func() bool { return still }, Done: func(err error) {
+					var asked, held bool
+					err := c.Send(Packet{Data: []byte{b}, Still: func() bool { asked, held = true, still; return still }, Done: func(err error) {
 						told++
 						if err == nil {
 							want.WriteByte(b)
-						} else if still && errors.Is(err, ErrDropped) {
-							r.Fatalf("dropped while it still held")
+						}
+						if err == nil && !(asked && held) || errors.Is(err, ErrDropped) && held {
+							r.Fatalf("ended with %v, asked %v, still %v", err, asked, held)
 						}
 					}})
 					if (err == nil) != open {
@@ -135,6 +137,35 @@
 	})
 }
 
+// Guards against a last answer lost by the reset that a close with unread input brings.
+func TestLastAnswerArrivesDespiteUnreadInput(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	far.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := far.Write(make([]byte, 64<<10)); err != nil {
+		t.Fatal(err)
+	}
+	c := NewConn(near, nil)
+	c.Send(Packet{Data: []byte("bye")})
+	c.Finish()
+	got, err := io.ReadAll(far)
+	if string(got) != "bye" || err != nil {
+		t.Errorf("read %q, %v", got, err)
+	}
+}
+
 // Guards against callers taking the descriptors that servers need.
 func TestBudgetKeepsAReserve(t *testing.T) {
 	b := NewBudget(4, 2)
