Drain: wait until the last answer is handed over; SIP set-ups are refused by the module alone

Seen by reading: Core.close told Drained before the caller's Refuse or Fail was called (core.go, act), so a call refused last could lose its answer to the closing connections. Test: TestDrainedComesAfterTheLastAnswer fails without it (0 answers given, want 1). Also: the SIP agent refused INVITEs while draining, which is the module's to decide; a broken connection left INVITE transactions in Proceeding for ever; copies of an INVITE to a drained UDP server have a test that fails without the check (copies 0.3 to 1.3 s after the drain).

--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,6 +59,7 @@
 	byID     map[string]*dialog         // by the core's id and side
 	lines    map[string]*line           // by the server's address
 	draining bool
+	once     sync.Once
 }
 
 const allow = "INVITE, ACK, CANCEL, BYE, OPTIONS, NOTIFY"
@@ -109,11 +111,17 @@
 	return ""
 }
 
-// Drain turns new set-ups and tests away from now on.
+// Drain fails the tests that are asked for from now on. Set-ups are still taken: whether one is refused is decided by
+// the module alone.
 func (a *Agent) Drain() { a.Post(func() { a.draining = true }) }
 
-// Close ends the agent's sockets.
-func (a *Agent) Close() {
+// Close ends the agent's sockets, once it has sent what it was told to send.
+func (a *Agent) Close() { a.once.Do(a.close) }
+
+func (a *Agent) close() {
+	sent := make(chan struct{})
+	a.Post(func() { close(sent) })
+	<-sent
 	if a.tcp != nil {
 		a.tcp.Close()
 		a.tcp.Finish(a.Timers.T1)
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// Guards against new work at a draining server: a set-up that it never heard is not sent to it again, and the caller
+// gets its one final answer.
+func TestNoCopyToADrainingServer(t *testing.T) {
+	server := New(t, nil) // hears all, says nothing
+	b := newBench(t, 3*time.Second, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	caller.Send("UDP", b.agent.Addr("UDP"), caller.Invite("UDP", "abc", "4711", ""))
+	server.Wait("INVITE", Is("INVITE"))
+	b.apply(routing.Update{Hosts: []routing.Host{{Name: "s-1", Addr: server.URI("UDP"), State: control.Draining}}})
+	drained := time.Now()
+	caller.Wait("final answer", func(m *sip.Message) bool { return m.Status >= 300 })
+	for _, e := range server.Log() {
+		if Is("INVITE")(e.Msg) && e.At.After(drained.Add(250*time.Millisecond)) {
+			t.Errorf("a copy came %v after the drain", e.At.Sub(drained))
+		}
+	}
+}
+
 // A server that has no room is passed over; with all gated the caller is refused at once and told when to return.
 func TestRefusalWithRetryAfter(t *testing.T) {
 	each(t, func(t *testing.T, proto string) {
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -60,15 +60,32 @@
 			ready <- err
 		})
 	})
-	if err := <-ready; err != nil {
+	select {
+	case err = <-ready:
+	case <-ctx.Done(): // the server left the list, or the agent is closed
+		err = ctx.Err()
+	}
+	if err != nil {
+		if conn != nil {
+			conn.Close()
+		}
 		return nil, err
 	}
 	if conn != nil {
-		go a.readTCP(conn, func(err error) { l.events.Down(err) })
+		go a.readTCP(conn, func(err error) { l.down(err) })
 	}
 	return l, nil
 }
 
+// down ends the set-ups of a connection that is gone: nothing else would ever end their transactions.
+func (l *line) down(err error) {
+	for _, u := range l.out {
+		u.tx.end()
+	}
+	clear(l.out)
+	l.events.Down(err)
+}
+
 // Setup implements routing.Line.
 func (l *line) Setup(at routing.Attempt, still func() bool) {
 	l.agent.Post(func() { l.setup(at, still) })
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -63,9 +63,6 @@
 	case len(m.list("Require")) > 0:
 		refuse(420, "Bad Extension", "Unsupported", m.Get("Require"))
 		return
-	case a.draining:
-		refuse(503, "Service Unavailable", "Retry-After", "1")
-		return
 	}
 	t.respond(Respond(m, 100, "Trying"))
 	a.calls[t] = k
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -188,16 +188,27 @@
 			}
 		}
 	}
-	if c.pending == 0 && c.drained != nil {
-		c.drained()
-	}
+	c.settled()
 }
 
 // Drained calls f once no caller is owed an answer.
 func (c *Core) Drained(f func()) {
 	c.Post(func() {
 		c.drained = f
-		if c.pending == 0 {
+		c.settled()
+	})
+}
+
+// settled tells who waits for it that nothing is owed. It is posted: the last answer is handed over by then, and not
+// just about to be.
+func (c *Core) settled() {
+	if c.pending > 0 || c.drained == nil {
+		return
+	}
+	c.Post(func() {
+		if c.pending == 0 && c.drained != nil {
+			f := c.drained
+			c.drained = nil
 			f()
 		}
 	})
@@ -327,9 +338,7 @@
 	if !told && c.calls[k.ID] == k {
 		c.release(k, CauseNormal)
 	}
-	if c.pending == 0 && c.drained != nil {
-		c.drained()
-	}
+	c.settled()
 }
 
 // Outcome is the end of an attempt as the wire saw it.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -302,6 +302,31 @@
 	})
 }
 
+// Guards against the last answer being lost at a planned restart: what ends the process waits until it is handed over.
+func TestDrainedComesAfterTheLastAnswer(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench("a")
+			defer b.end()
+			c := b.call("1", time.Second)
+			finals := -1
+			b.core.Drained(func() { finals = c.finals })
+			synctest.Wait()
+			if finals != -1 {
+				t.Fatal("drained while a call is open")
+			}
+			if answered {
+				b.wires["a"].answer("1", "")
+				synctest.Wait()
+			}
+			b.sleep(2 * time.Second)
+			if finals != 1 {
+				t.Errorf("drained with %d answers given, want 1", finals)
+			}
+		})
+	}
+}
+
 type orphans map[string]int
 
 func (o orphans) Orphan(id string, _ int) { o[id]++ }
