--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -65,6 +65,7 @@
 	redialFirst = 50 * time.Millisecond
 	redialMost  = time.Second
 	lingerFor   = time.Minute
+	warnEvery   = 10 * time.Second
 )
 
 type lineState int
@@ -95,6 +96,7 @@
 	owed     []owedRelease // releases that wait for a line
 	reset    bool          // the last line was reset: the process may have died
 	lostAt   control.Micros
+	warned   control.Micros // when a failed connect was last logged
 	ctx      context.Context
 	stopDial context.CancelFunc
 }
@@ -172,7 +174,10 @@
 	}
 	if err != nil {
 		p.phase, p.events = idle, nil
-		p.log.WithError(err).Warn("no connection to server")
+		if now := Now(); p.warned == 0 || span(now-p.warned) >= warnEvery { // not each of the many tries
+			p.warned = now
+			p.log.WithError(err).Warn("no connection to server")
+		}
 		for _, a := range p.queued {
 			p.fail(a, control.Unreachable)
 		}
@@ -187,7 +192,7 @@
 		p.redial = min(2*p.redial, redialMost)
 		return
 	}
-	p.phase, p.line, p.redial, p.reset = up, line, redialFirst, false
+	p.phase, p.line, p.redial, p.reset, p.warned = up, line, redialFirst, false, 0
 	for _, r := range p.owed {
 		line.Release(r.id, r.cause)
 	}
