Open the SIP sockets before servers are dialled, read them once the servers are known

Seen by reading: start loaded the inventory before Agent.Listen, so lines over UDP found no socket and were dialled again 50 ms later, and the actor read a.udp while start wrote it (node.go, start). The new test logs 'no connection to server' without the fix.

--- a/cmd/beammux/loopback_test.go
+++ b/cmd/beammux/loopback_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"beammux/control"
 	"beammux/internal/config"
@@ -30,6 +30,12 @@
 "report":{"fields":["spare","total","busy","q"],"via":"inline"}}`
 
 func testNode(t *testing.T, deploy *config.Deploy) *node {
+	t.Helper()
+	log, _ := logtest.NewNullLogger()
+	return testNodeLogging(t, deploy, log)
+}
+
+func testNodeLogging(t *testing.T, deploy *config.Deploy, log *logrus.Logger) *node {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
@@ -41,8 +47,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	n, err := start(cfg, deploy, log)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/beammux/node.go
+++ b/cmd/beammux/node.go
@@ -64,12 +64,15 @@
 }
 
 // start brings a gatekeeper up. It takes callers once it returns: known servers are loaded by then.
-func start(cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (n *node, err error) {
+func start(cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (_ *node, err error) {
 	ctx, stop := context.WithCancel(context.Background())
-	n = &node{cfg: cfg, deploy: deploy, log: log, stop: stop}
+	n := &node{cfg: cfg, deploy: deploy, log: log, stop: stop}
 	defer func() {
 		if err != nil {
 			stop()
+			if n.store != nil {
+				n.store.Close()
+			}
 		}
 	}()
 	files := cfg.Sockets
@@ -81,7 +84,7 @@
 	if timeout <= 0 {
 		timeout = dialTimeout
 	}
-	if err := n.openStore(); err != nil {
+	if err = n.openStore(); err != nil {
 		return nil, err
 	}
 	n.core = routing.NewCore(cfg.Site.Settings, cfg.Seed, log)
@@ -97,22 +100,22 @@
 		n.agent = sip.NewAgent(n.core, sip.Options{Classes: cfg.Site.ClassNames, Deadlines: deadlines,
 			DefaultClass: deploy.DefaultClass, Reports: cfg.Site.ReportNames, DialTimeout: timeout, Budget: budget,
 			Dialogs: records, Log: log})
+		if err = n.agent.Listen(deploy.SIPUDP, deploy.SIPTCP); err != nil {
+			return nil, err
+		}
 		d.agent = n.agent
 		n.restoreDialogs(records)
 	}
 	n.core.SetOrphans(n)
 	n.list = routing.NewList(n.core, d, log)
-	if err := n.loadServers(); err != nil {
+	if err = n.loadServers(); err != nil {
 		return nil, err
 	}
 	if n.listener, err = transport.Listen(cfg.Listen, budget); err != nil {
 		return nil, err
 	}
 	if n.agent != nil {
-		if err := n.agent.Listen(deploy.SIPUDP, deploy.SIPTCP); err != nil {
-			n.listener.Close()
-			return nil, err
-		}
+		n.agent.Serve()
 		log.WithFields(logrus.Fields{"udp": n.agent.Addr("UDP"), "tcp": n.agent.Addr("TCP")}).Info("SIP front serving")
 	}
 	if cfg.Bus != "" {
--- a/cmd/beammux/node_test.go
+++ b/cmd/beammux/node_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"beammux/control"
 	"beammux/internal/config"
 	"beammux/internal/protocol/sip/siptest"
@@ -162,6 +164,29 @@
 	}
 }
 
+// Guards against SIP servers being dialled before the socket that they are reached by is open: the first call stands.
+func TestSIPServersOfTheInventoryAreReadyAtTheStart(t *testing.T) {
+	server := siptest.New(t, slowly(0))
+	inv := filepath.Join(t.TempDir(), "servers.csv")
+	text := "name,address,transport\na," + server.Addr("UDP") + ",udp\n"
+	if err := os.WriteFile(inv, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, lines := logtest.NewNullLogger()
+	n := testNodeLogging(t, &config.Deploy{SIPUDP: "127.0.0.1:0", Inventory: inv}, log)
+	answers := make(chan map[string]any, 1)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- m })
+	open(c, "0000000000000001", "1", 2000)
+	if m := <-answers; m["msg"] != "ready" {
+		t.Errorf("%v", m)
+	}
+	for _, e := range lines.AllEntries() {
+		if e.Message == "no connection to server" {
+			t.Errorf("%s: %v", e.Message, e.Data)
+		}
+	}
+}
+
 // A server that needs the SIP front while that is off is out of reach, and the call is refused and not lost.
 func TestSIPServerWithoutSIPFront(t *testing.T) {
 	n := testNode(t, &config.Deploy{})
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -76,7 +76,8 @@
 	return a
 }
 
-// Listen opens the front's sockets; an empty address leaves one out. It is called once, before anything is sent.
+// Listen opens the front's sockets; an empty address leaves one out. It is called once, before any server is dialled:
+// lines over UDP use the same socket. Nothing is read before Serve.
 func (a *Agent) Listen(udp, tcp string) error {
 	if udp != "" {
 		pc, err := net.ListenPacket("udp", udp)
@@ -84,7 +85,6 @@
 			return err
 		}
 		a.udp = pc
-		go a.readUDP(pc)
 	}
 	if tcp != "" {
 		l, err := transport.Listen(tcp, a.Budget)
@@ -95,11 +95,20 @@
 			return err
 		}
 		a.tcp = l
-		go l.Serve(a.serveTCP)
 	}
 	return nil
 }
 
+// Serve starts to take what comes, once the servers are known.
+func (a *Agent) Serve() {
+	if a.udp != nil {
+		go a.readUDP(a.udp)
+	}
+	if a.tcp != nil {
+		go a.tcp.Serve(a.serveTCP)
+	}
+}
+
 // Addr gives the address on which the agent listens for a transport, or "".
 func (a *Agent) Addr(proto string) string {
 	switch {
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -42,6 +42,7 @@
 	if err := agent.Listen("127.0.0.1:0", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
+	agent.Serve()
 	t.Cleanup(agent.Close)
 	b := &bench{agent, core, routing.NewList(core, agent, log)}
 	b.apply(routing.Update{Whole: true, Hosts: servers})
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -15,7 +15,6 @@
 // line is the way to one SIP server. It is the core's Line; all of its work is done in the agent's actor.
 type line struct {
 	agent  *Agent
-	uri    string
 	user   uri
 	key    string
 	flow   flow
@@ -40,7 +39,7 @@
 		return nil, errors.New("not a SIP address: " + addr)
 	}
 	proto, hop := u.hop()
-	l := &line{agent: a, uri: addr, user: u, key: proto + "|" + hop, events: events, out: map[string]*uac{}}
+	l := &line{agent: a, user: u, key: proto + "|" + hop, events: events, out: map[string]*uac{}}
 	var conn *transport.Conn
 	if proto == "TCP" {
 		if conn, err = a.Budget.Dial(ctx, hop, a.DialTimeout); err != nil {
