SIGHUP moves the bus reader on to the configured address at once; a silent bus is left sooner

Faulty lines: node.reload read the new configuration and used its inventory alone, and bus.Reader.Addr was fixed for the life of the process.

Looked into: the numbers continue, so the next connection asks with Last-Event-ID as after any break, and a list that is told again is passed over. Ruled out: a wait for the old connection to end (it ends 1.5 s after SIGHUP, and the backoff came on top). On the way: silence of 3 s, the dial and a backoff of up to 1 s came too near to the 4 s after which a stopped bus counts as told; now 2.5 s and 250 ms. SIGHUP and SIGTERM are caught before the configuration is read.

Tests: Move leaves the open connection at once and asks with the last number; a silent bus is asked again in time; reload goes on at the new bus and keeps all with a bad file; SIGHUP before ready is served.

--- a/cmd/beammux/node.go
+++ b/cmd/beammux/node.go
@@ -42,6 +42,7 @@
 	list     *routing.List
 	front    *jsonl.Front
 	listener *transport.Listener
+	bus      *bus.Reader
 	agent    *sip.Agent // nil while the SIP front is off
 	store    *store.Node
 	stop     context.CancelFunc
@@ -118,17 +119,15 @@
 		n.agent.Serve()
 		log.WithFields(logrus.Fields{"udp": n.agent.Addr("UDP"), "tcp": n.agent.Addr("TCP")}).Info("SIP front serving")
 	}
-	if cfg.Bus != "" {
-		r := &bus.Reader{Addr: cfg.Bus, Last: cfg.Last, Log: log,
-			Apply: func(u routing.Update) {
-				u.Source = fromBus
-				n.list.Apply(u, nil)
-			},
-			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-				return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", addr)
-			}}
-		go r.Run(ctx)
-	}
+	n.bus = &bus.Reader{Addr: cfg.Bus, Last: cfg.Last, Log: log,
+		Apply: func(u routing.Update) {
+			u.Source = fromBus
+			n.list.Apply(u, nil)
+		},
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", addr)
+		}}
+	go n.bus.Run(ctx)
 	go n.listener.Serve(n.front.Serve)
 	log.WithField("listen", n.listener.Addr().String()).Info("serving")
 	return n, nil
@@ -178,8 +177,8 @@
 	n.log.WithFields(logrus.Fields{"servers": len(hosts), "revision": r.Revision}).Info("inventory taken from store")
 }
 
-// reload reads configuration and inventory again. Whatever is bad leaves the last good one in force. The module's
-// settings and the listening addresses are fixed for the life of the process.
+// reload reads configuration and inventory again and goes on at the event bus that the configuration names. A bad file
+// leaves all as it was. The module's settings and the listening addresses are fixed for the life of the process.
 func (n *node) reload(file, deployFile string) {
 	cfg, err := config.Load(file)
 	if err != nil {
@@ -198,9 +197,11 @@
 			return
 		}
 	}
+	n.bus.Move(cfg.Bus)
 	n.list.Apply(routing.Update{Source: fromFile, Whole: true, Hosts: hosts}, nil)
 	n.recordConfiguration(cfg)
-	n.log.WithField("servers", len(hosts)).Info("reloaded inventory; other changes take effect at the next start")
+	n.log.WithFields(logrus.Fields{"bus": cfg.Bus, "servers": len(hosts)}).
+		Info("reloaded event bus and inventory; other changes take effect at the next start")
 }
 
 // Orphan passes on the release of a call that stood before this process started.
--- a/cmd/beammux/node_test.go
+++ b/cmd/beammux/node_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -164,6 +167,103 @@
 	}
 }
 
+// Guards against a gatekeeper that reads on at an event bus which tells nothing more: on SIGHUP it goes on at the address
+// that the new configuration names, and a file that can't be read leaves all as it was.
+func TestReloadMovesToTheNewBus(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	n := testNode(t, &config.Deploy{})
+	asked := make(chan string, 9)
+	listen := func(name string) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { c.Close() })
+				asked <- name
+			}
+		}()
+		return l.Addr().String()
+	}
+	for i, step := range []struct{ text, want string }{
+		{`{"listen":"127.0.0.1:0","bus":"` + listen("a") + `","settings":` + testSettings + `}`, "a"},
+		{`{"listen":"127.0.0.1:0","bus":"` + listen("never") + `","settings":`, ""},
+		{`{"listen":"127.0.0.1:0","bus":"` + listen("b") + `","settings":` + testSettings + `}`, "b"},
+	} {
+		if err := os.WriteFile(file, []byte(step.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		n.reload(file, filepath.Join(t.TempDir(), "absent.json"))
+		if step.want == "" {
+			continue
+		}
+		select {
+		case got := <-asked:
+			if got != step.want {
+				t.Fatalf("step %d: asked %s, want %s", i, got, step.want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("step %d: bus %s was not asked", i, step.want)
+		}
+	}
+}
+
+// Guards against SIGHUP ending a gatekeeper that is not up yet: it is caught from the first and served once it is up.
+// The configuration is a FIFO, so the test knows when the program reads it.
+func TestSIGHUPBeforeReady(t *testing.T) {
+	if os.Getenv("BEAMMUX_TEST_MAIN") != "" {
+		os.Args = []string{"beammux", "serve"}
+		main()
+		return
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^TestSIGHUPBeforeReady$")
+	cmd.Env = append(os.Environ(), "BEAMMUX_TEST_MAIN=1", "PROXY_CONFIG="+file, "PROXY_LISTEN=127.0.0.1:0")
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	guard := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
+	defer guard.Stop()
+	w, err := os.OpenFile(file, os.O_WRONLY, 0) // returns when the program has opened it
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","settings":%s}`, testSettings)
+	if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	os.Rename(file+".new", file) // for the second reading
+	fmt.Fprint(w, text)
+	w.Close()
+	reloaded := false
+	for lines := bufio.NewScanner(stderr); lines.Scan(); {
+		if strings.Contains(lines.Text(), "reloaded event bus") {
+			reloaded = true
+			cmd.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	if !reloaded {
+		t.Error("the signal was not served")
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with: %v", err)
+	}
+}
+
 // Guards against SIP servers being dialled before the socket that they are reached by is open: the first call stands.
 func TestSIPServersOfTheInventoryAreReadyAtTheStart(t *testing.T) {
 	server := siptest.New(t, slowly(0))
--- a/cmd/beammux/serve.go
+++ b/cmd/beammux/serve.go
@@ -22,6 +22,11 @@
 }
 
 func (s serveCmd) Run(log logrus.FieldLogger) error {
+	// First of all: uncaught, a signal that comes early would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	cfg, err := config.Load(s.Config)
 	if err != nil {
 		return err
@@ -37,14 +42,10 @@
 		cfg.Seed = rand.Uint64()
 	}
 	limits(cfg)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	n, err := start(cfg, deploy, log.WithField("node", cfg.Name))
 	if err != nil {
 		return err
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	for {
 		select {
 		case <-hup:
--- a/internal/protocol/bus/bus_test.go
+++ b/internal/protocol/bus/bus_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/textproto"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -117,3 +119,99 @@
 		t.Errorf("%d updates, want 1", len(updates))
 	}
 }
+
+// A bus that stops and leaves its connection open: what it would have told counts as told 4 s later, so the next
+// connection has to ask well before. One that comes and goes is asked again within the 2 s of a break.
+func TestSilentBusIsAskedAgainInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		asked := make(chan time.Time)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &Reader{Addr: "bus", Log: log, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			select {
+			case asked <- time.Now():
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			near, far := net.Pipe()
+			go func() {
+				in := textproto.NewReader(bufio.NewReader(far))
+				in.ReadLine()
+				in.ReadMIMEHeader()
+				io.WriteString(far, head+": hello\n") // and nothing more
+			}()
+			return near, nil
+		}}
+		done := make(chan struct{})
+		go func() { r.Run(ctx); close(done) }()
+		first := <-asked
+		if gap := (<-asked).Sub(first); gap < 2*time.Second || gap > 3500*time.Millisecond {
+			t.Errorf("a silent bus was asked again after %v", gap)
+		}
+		cancel()
+		<-done
+	})
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		ctx, cancel := context.WithCancel(t.Context())
+		last, tries, most := time.Now(), 0, time.Duration(0)
+		r := &Reader{Addr: "bus", Log: log, Dial: func(context.Context, string) (net.Conn, error) {
+			most, last = max(most, time.Since(last)), time.Now()
+			if tries++; tries == 20 {
+				cancel()
+			}
+			return nil, io.EOF
+		}}
+		r.Run(ctx)
+		if most > time.Second {
+			t.Errorf("a broken bus was left alone for %v", most)
+		}
+	})
+}
+
+// Guards against a gatekeeper that stays with a bus which tells nothing more: on Move the open connection is left at
+// once, and the new address is asked for what came after the last event taken.
+func TestMoveGoesOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		ctx, cancel := context.WithCancel(t.Context())
+		asked := make(chan string)
+		updates := make(chan routing.Update, 9)
+		r := &Reader{Addr: "old", Last: 3, Log: log, Apply: func(u routing.Update) { updates <- u },
+			Dial: func(_ context.Context, addr string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					in := textproto.NewReader(bufio.NewReader(far))
+					in.ReadLine()
+					h, _ := in.ReadMIMEHeader()
+					asked <- addr + " " + h.Get("Last-Event-ID")
+					io.WriteString(far, head)
+					if addr == "old" {
+						io.WriteString(far, event(4, false, "a", "up"))
+					} else {
+						io.WriteString(far, event(5, false, "a", "draining"))
+					}
+				}()
+				return near, nil
+			}}
+		done := make(chan struct{})
+		go func() { r.Run(ctx); close(done) }()
+		first := <-asked
+		<-updates
+		moved := time.Now()
+		r.Move("old") // no change: the connection stays
+		r.Move("new")
+		second := <-asked
+		if first != "old 3" || second != "new 4" || time.Since(moved) != 0 {
+			t.Errorf("asked %q, then %q after %v", first, second, time.Since(moved))
+		}
+		if u := <-updates; u.Hosts[0].State != control.Draining {
+			t.Errorf("%+v", u)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/protocol/bus/reader.go
+++ b/internal/protocol/bus/reader.go
@@ -12,6 +12,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,51 +22,89 @@
 )
 
 const (
-	path       = "/bus/read"
-	silence    = 3 * time.Second // a comment is due every second: after this the connection is taken for dead
+	path = "/bus/read"
+	// A comment is due every second: after this the connection is taken for dead. What a silent bus would have told
+	// counts as told 4 s after it stopped, so the next connection has to stand well before.
+	silence    = 2500 * time.Millisecond
 	retryFirst = 20 * time.Millisecond
-	retryMost  = time.Second
+	retryMost  = 250 * time.Millisecond // what a broken bus would have told counts as told after 2 s
 	maxLine    = 256 << 10
 )
 
 // Reader keeps reading the bus and hands on each change once, in order.
 type Reader struct {
-	Addr   string
+	Addr   string // where the bus is at the start; empty: none yet. Move changes it
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Apply  func(routing.Update)
 	Log    logrus.FieldLogger
 	Last   int64 // number of the last event that was taken
 	parser fastjson.Parser
+
+	mu  sync.Mutex         // guards Addr and cut
+	cut context.CancelFunc // ends the connection or the wait that is on
 }
 
 // errFault marks an event that can't be taken: the list stays as it was and the bus is asked again.
 var errFault = errors.New("fault in the event stream")
 
+// Move goes on reading at another address at once. The numbers continue, so nothing is missed or taken twice.
+func (r *Reader) Move(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if addr == r.Addr {
+		return
+	}
+	r.Addr = addr
+	if r.cut != nil {
+		r.cut()
+	}
+}
+
+// turn gives the address of the next connection and a context that ends when the bus moves.
+func (r *Reader) turn(ctx context.Context) (context.Context, context.CancelFunc, string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ctx, r.cut = context.WithCancel(ctx)
+	return ctx, r.cut, r.Addr
+}
+
 // Run reads until the context ends, reconnecting after the last event taken.
 func (r *Reader) Run(ctx context.Context) {
 	wait := retryFirst
 	for ctx.Err() == nil {
-		before := r.Last
-		began := time.Now()
-		err := r.connect(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if r.Last > before || time.Since(began) > silence && !errors.Is(err, errFault) {
+		turn, cut, addr := r.turn(ctx)
+		if r.read(turn, addr, wait) {
 			wait = retryFirst
+		} else {
+			wait = min(2*wait, retryMost)
 		}
-		r.Log.WithError(err).WithField("last", r.Last).Warn("event bus: connection ended, last good list kept")
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return
-		}
-		wait = min(2*wait, retryMost)
+		cut()
+	}
+}
+
+// read reads one connection and then waits before the next, or until the turn ends. It tells whether the connection
+// was of use, so that the next wait is short again.
+func (r *Reader) read(ctx context.Context, addr string, wait time.Duration) (useful bool) {
+	if addr == "" {
+		<-ctx.Done()
+		return true
+	}
+	before, began := r.Last, time.Now()
+	err := r.connect(ctx, addr)
+	if ctx.Err() != nil { // ended from here: the bus has moved, or the program ends
+		return true
+	}
+	r.Log.WithError(err).WithFields(logrus.Fields{"bus": addr, "last": r.Last}).
+		Warn("event bus: connection ended, last good list kept")
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
 	}
+	return r.Last > before || time.Since(began) > silence && !errors.Is(err, errFault)
 }
 
-func (r *Reader) connect(ctx context.Context) error {
-	nc, err := r.Dial(ctx, r.Addr)
+func (r *Reader) connect(ctx context.Context, addr string) error {
+	nc, err := r.Dial(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -73,7 +112,7 @@
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	nc.SetDeadline(time.Now().Add(silence))
 	_, err = fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n",
-		path, r.Addr, r.Last)
+		path, addr, r.Last)
 	if err != nil {
 		return err
 	}
