Four lines to each server; mute and half-read lines are closed, vanished servers' calls released

Looked into: each message read on a server's connection was logged. States (NOTIFY) come every 0.50 s on every connection, whatever else happens, until the first answer that stops short; after it nothing at all comes on that connection, though it stays open. Ruled out: congestion (servers were idle), the module (it gated what never answered), descriptors (17 of 1,024). A probe showed that servers answer with CSeq 1 whatever number the INVITE had, so attempts of a call can't be told apart on one line.

Faulty lines: Peer had one line for all; sip.Reader.Next waited for ever for the rest of a message, and platformLine.read for the next one; nothing but a reset or the list ended the calls of a server that vanished.

Now: up to four lines, the least used takes a set-up, and never one on which an attempt of the same call was given up; a message that has begun ends in 250 ms (2 s for SIP callers); missing states or a set-up given up with nothing heard end the line; 4 s without any line release the calls. Retired peers stop after 10 s and not a minute. Tests for each, seen to fail without.

--- a/cmd/beammux/node.go
+++ b/cmd/beammux/node.go
@@ -54,14 +54,31 @@
 	agent    *sip.Agent
 }
 
+// Lines implements routing.Dialer.
+func (d *dialer) Lines(addr string) int { return d.dialect(addr).Lines(addr) }
+
+// Dial implements routing.Dialer.
 func (d *dialer) Dial(ctx context.Context, addr string, events routing.LineEvents) (routing.Line, error) {
-	if !strings.HasPrefix(addr, "sip:") {
-		return d.platform.Dial(ctx, addr, events)
-	}
-	if d.agent == nil {
-		return nil, fmt.Errorf("server %s needs the SIP front, which is off", addr)
+	return d.dialect(addr).Dial(ctx, addr, events)
+}
+
+func (d *dialer) dialect(addr string) routing.Dialer {
+	switch {
+	case !strings.HasPrefix(addr, "sip:"):
+		return d.platform
+	case d.agent == nil:
+		return noDialer{}
 	}
-	return d.agent.Dial(ctx, addr, events)
+	return d.agent
+}
+
+// noDialer stands for the SIP front while that is off.
+type noDialer struct{}
+
+func (noDialer) Lines(string) int { return 1 }
+
+func (noDialer) Dial(_ context.Context, addr string, _ routing.LineEvents) (routing.Line, error) {
+	return nil, fmt.Errorf("server %s needs the SIP front, which is off", addr)
 }
 
 // start brings a gatekeeper up. It takes callers once it returns: known servers are loaded by then.
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -1,7 +1,6 @@
 package sip
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -62,6 +61,9 @@
 	once     sync.Once
 }
 
+// requestWithin is how long a message on a TCP connection may take once it has begun.
+const requestWithin = 2 * time.Second
+
 const allow = "INVITE, ACK, CANCEL, BYE, OPTIONS, NOTIFY"
 
 // NewAgent makes an agent that listens nowhere yet.
@@ -233,18 +235,23 @@
 
 func (a *Agent) serveTCP(c *transport.Conn) { a.readTCP(c, nil) }
 
-// readTCP reads a connection until it ends. gone, if not nil, hears why.
-func (a *Agent) readTCP(c *transport.Conn, gone func(error)) {
+// readTCP reads a connection until it ends. l, if not nil, is the line whose connection it is.
+func (a *Agent) readTCP(c *transport.Conn, l *line) {
 	key := c.RemoteAddr().String()
 	a.Post(func() { a.conns[key] = c })
-	r := NewReader(bufio.NewReaderSize(c, MaxMessage))
+	r := NewConnReader(c, requestWithin)
 	for {
 		m, err := r.Next()
 		if err == nil {
-			a.Post(func() { a.take(m, &tcpFlow{agent: a, conn: c}) })
+			a.Post(func() {
+				if l != nil {
+					l.heard = time.Now()
+				}
+				a.take(m, &tcpFlow{agent: a, conn: c})
+			})
 			continue
 		}
-		if err == ErrMalformed || err == ErrTooLong {
+		if err == ErrMalformed || err == ErrTooLong || err == ErrStopped {
 			a.Log.WithField("peer", key).WithError(err).Warn("SIP: bad message, connection closed")
 			a.reject(m, &tcpFlow{agent: a, conn: c}, err) // at once: the connection is closed when this returns
 		}
@@ -253,8 +260,8 @@
 				delete(a.conns, key)
 			}
 			c.Finish()
-			if gone != nil {
-				gone(err)
+			if l != nil {
+				l.down(err)
 			}
 		})
 		return
--- a/internal/protocol/sip/message.go
+++ b/internal/protocol/sip/message.go
@@ -7,10 +7,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"net/textproto"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // MaxMessage is the longest message that is taken, headers and body.
@@ -20,6 +23,7 @@
 var (
 	ErrTooLong   = errors.New("message over 16 KiB")
 	ErrMalformed = errors.New("malformed message")
+	ErrStopped   = errors.New("message stops short")
 )
 
 // compact gives the long name of a header's one-letter form (RFC 3261, 7.3.3).
@@ -186,13 +190,52 @@
 }
 
 // Reader reads messages from a stream, framed by Content-Length.
-type Reader struct{ in *bufio.Reader }
+type Reader struct {
+	in     *bufio.Reader
+	conn   readDeadliner // nil: a message may take any time
+	within time.Duration
+	armed  bool // the message at hand has a deadline
+	graced bool // and has been given the grace
+}
+
+type readDeadliner interface{ SetReadDeadline(time.Time) error }
+
+// wholeGrace is for a process that got no processor time: a message's deadline may have passed while the rest of it
+// lay ready to be read.
+const wholeGrace = 50 * time.Millisecond
 
 // NewReader reads from in, whose buffer must hold MaxMessage bytes: it bounds what a message may need.
-func NewReader(in *bufio.Reader) *Reader { return &Reader{in} }
+func NewReader(in *bufio.Reader) *Reader { return &Reader{in: in} }
+
+// NewConnReader reads from a connection. A message that has begun and is not whole within a time ends it with
+// ErrStopped: what waits behind it would never be read.
+func NewConnReader(c net.Conn, within time.Duration) *Reader {
+	return &Reader{in: bufio.NewReaderSize(c, MaxMessage), conn: c, within: within}
+}
+
+// peek gives the next n bytes of a message that has begun.
+func (r *Reader) peek(n int) ([]byte, error) {
+	if r.conn == nil || n <= r.in.Buffered() {
+		return r.in.Peek(n)
+	}
+	if !r.armed {
+		r.armed = true
+		r.conn.SetReadDeadline(time.Now().Add(r.within))
+	}
+	b, err := r.in.Peek(n)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !r.graced {
+		r.graced = true
+		r.conn.SetReadDeadline(time.Now().Add(wholeGrace))
+		b, err = r.in.Peek(n)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = ErrStopped
+	}
+	return b, err
+}
 
-// Next gives the next message. After ErrTooLong or ErrMalformed the stream is of no more use; the message may then be
-// one whose head could be read in part, or nil.
+// Next gives the next message. After a fault the stream is of no more use; the message may then be one whose head could
+// be read in part, or nil.
 func (r *Reader) Next() (*Message, error) {
 	for { // line ends between messages keep a connection alive (RFC 5626)
 		b, err := r.in.Peek(1)
@@ -204,9 +247,18 @@
 		}
 		r.in.Discard(1)
 	}
+	m, err := r.message()
+	if r.armed {
+		r.armed, r.graced = false, false
+		r.conn.SetReadDeadline(time.Time{})
+	}
+	return m, err
+}
+
+func (r *Reader) message() (*Message, error) {
 	end := -1
 	for want := 1; end < 0; {
-		b, err := r.in.Peek(want)
+		b, err := r.peek(want)
 		if err == bufio.ErrBufferFull || err == nil && len(b) >= MaxMessage {
 			return nil, ErrTooLong
 		}
@@ -228,15 +280,12 @@
 	if end+length > MaxMessage {
 		return m, ErrTooLong
 	}
-	r.in.Discard(end)
-	m.Body = make([]byte, length)
-	for n := 0; n < length; {
-		k, err := r.in.Read(m.Body[n:])
-		if err != nil {
-			return nil, err
-		}
-		n += k
+	whole, err := r.peek(end + length)
+	if err != nil {
+		return nil, err
 	}
+	m.Body = bytes.Clone(whole[end:])
+	r.in.Discard(end + length)
 	return m, nil
 }
 
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -1,11 +1,13 @@
 package sip
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,15 +29,25 @@
 	Log     logrus.FieldLogger
 }
 
+// A server's state is told on four connections at most.
+const platformLines = 4
+
+// Lines implements routing.Dialer.
+func (d *PlatformDialer) Lines(string) int { return platformLines }
+
 // Dial implements routing.Dialer.
 func (d *PlatformDialer) Dial(ctx context.Context, addr string, events routing.LineEvents) (routing.Line, error) {
 	conn, err := d.Budget.Dial(ctx, addr, d.Timeout)
 	if err != nil {
 		return nil, err
 	}
+	return d.line(conn, events), nil
+}
+
+func (d *PlatformDialer) line(conn *transport.Conn, events routing.LineEvents) *platformLine {
 	l := &platformLine{dialer: d, conn: conn, events: events, out: map[string]platformSetup{}}
 	go l.read()
-	return l, nil
+	return l
 }
 
 // platformLine is one connection to a menu server.
@@ -45,13 +57,28 @@
 	events routing.LineEvents
 	mu     sync.Mutex
 	out    map[string]platformSetup // set-ups that were sent and have no final response
+	heard  time.Time                // when the last message came
+	told   time.Time                // when the last state came
+	gaps   []time.Duration          // between the last states
 }
 
 type platformSetup struct {
 	routing.Attempt
+	at        time.Time
 	cancelled bool
 }
 
+// The figures by which a line is taken to be mute: it is open, yet nothing more comes on it. Its set-ups are lost, and
+// so is what the server would say of calls that stand.
+const (
+	answerWithin = 250 * time.Millisecond // an answer that has begun is whole by then
+	quietLeast   = time.Second            // silence of less is no sign
+	quietGaps    = 2.5                    // states that are missing
+	gapsKept     = 4
+)
+
+var errMute = errors.New("line is mute")
+
 func request(method, id, key string, cseq string) *Message {
 	if key == "" {
 		key = "unknown"
@@ -62,7 +89,7 @@
 
 func (l *platformLine) Setup(a routing.Attempt, still func() bool) {
 	l.mu.Lock()
-	l.out[a.ID()] = platformSetup{Attempt: a}
+	l.out[a.ID()] = platformSetup{Attempt: a, at: time.Now()}
 	l.mu.Unlock()
 	m := request("INVITE", a.ID(), a.Key, "INVITE")
 	if a.Class >= 0 && a.Class < len(l.dialer.Classes) {
@@ -87,7 +114,12 @@
 		s.cancelled = true
 		l.out[id] = s
 	}
+	mute := ok && l.heard.Before(s.at) && time.Since(s.at) >= quietLeast
 	l.mu.Unlock()
+	if mute { // nothing at all has come since it was sent
+		l.conn.Close()
+		return
+	}
 	if ok {
 		l.write(request("CANCEL", id, s.Key, "CANCEL"))
 		// Its final response may never come; an answer that crossed the CANCEL comes soon.
@@ -112,11 +144,11 @@
 func (l *platformLine) write(m *Message) { l.conn.Send(transport.Packet{Data: m.Append(nil)}) }
 
 func (l *platformLine) read() {
-	r := NewReader(bufio.NewReaderSize(l.conn, MaxMessage))
+	r := NewConnReader(l.conn, answerWithin)
 	for {
-		m, err := r.Next()
+		m, err := l.next(r)
 		if err != nil {
-			if err == ErrMalformed || err == ErrTooLong {
+			if err == ErrMalformed || err == ErrTooLong || err == ErrStopped {
 				l.dialer.Log.WithField("address", l.conn.RemoteAddr()).WithError(err).
 					Warn("bad message from server: connection closed")
 			} else if err != io.EOF {
@@ -134,6 +166,47 @@
 	}
 }
 
+// next reads a message. A server tells its state at even gaps on each line, whatever else it does: when some are missing
+// the line is mute, though it is open.
+func (l *platformLine) next(r *Reader) (*Message, error) {
+	quiet := l.quiet()
+	if quiet > 0 {
+		l.conn.SetReadDeadline(time.Now().Add(quiet))
+	}
+	m, err := r.Next()
+	if errors.Is(err, os.ErrDeadlineExceeded) { // it may have lain ready while this process got no processor time
+		l.conn.SetReadDeadline(time.Now().Add(wholeGrace))
+		m, err = r.Next()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errMute
+	}
+	if err == nil {
+		l.mu.Lock()
+		l.heard = time.Now()
+		if m.Method == "NOTIFY" {
+			if !l.told.IsZero() {
+				l.gaps = append(l.gaps, l.heard.Sub(l.told))
+				l.gaps = l.gaps[max(0, len(l.gaps)-gapsKept):]
+			}
+			l.told = l.heard
+		}
+		l.mu.Unlock()
+	}
+	return m, err
+}
+
+// quiet is for how long a line may bring nothing, 0 while that is not known. The first gap is none: a state comes at
+// once on a new line, and the next one in its turn.
+func (l *platformLine) quiet() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.gaps) < 2 {
+		return 0
+	}
+	return max(quietLeast, time.Duration(quietGaps*float64(slices.Max(l.gaps))))
+}
+
 func (l *platformLine) request(m *Message) {
 	id := m.Get("Call-ID")
 	switch m.Method {
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"reflect"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -179,3 +180,120 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// pipeLine gives a line over a pipe in a bubble, and the server's end, whose input is read and dropped.
+func pipeLine(t *testing.T) (*platformLine, net.Conn, *told) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	go io.Copy(io.Discard, far)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := &PlatformDialer{Reports: []string{"spare"}, Log: log}
+	e := &told{make(chan any, 99)}
+	return d.line(transport.NewConn(near, nil), e), far, e
+}
+
+func state(far net.Conn) {
+	io.WriteString(far, "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: x\r\nCSeq: 1 NOTIFY\r\nX-Occupancy: spare:1\r\nContent-Length: 0\r\n\r\n")
+}
+
+// next waits for the line's end and tells how long it took.
+func lineEnds(e *told, limit time.Duration) (time.Duration, bool) {
+	began := time.Now()
+	for {
+		select {
+		case got := <-e.events:
+			if _, down := got.(bool); down {
+				return time.Since(began), true
+			}
+		case <-time.After(limit):
+			return 0, false
+		}
+	}
+}
+
+// Guards against a line that would wait for ever for the rest of an answer, and its set-ups and releases with it.
+func TestLineEndsOnAMessageThatStopsShort(t *testing.T) {
+	for _, part := range []string{"SIP/2.0 200 OK\r\nCall-ID: x\r\n", "SIP/2.0 200 OK\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\nContent-Length: 9\r\n\r\nabc"} {
+		synctest.Test(t, func(t *testing.T) {
+			_, far, e := pipeLine(t)
+			time.Sleep(time.Hour) // a line on which nothing has begun may be silent
+			io.WriteString(far, part)
+			if took, down := lineEnds(e, time.Minute); !down || took > time.Second {
+				t.Errorf("%q: line ended %v after %v", part, down, took)
+			}
+		})
+	}
+}
+
+// Guards against a line that stays open and brings nothing more: the states that are due go missing. One that tells its
+// state is left alone.
+func TestLineEndsWhenStatesGoMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, far, e := pipeLine(t)
+		state(far)
+		time.Sleep(20 * time.Millisecond) // the first comes at once, the others in their turn
+		for range 20 {
+			state(far)
+			if _, down := lineEnds(e, 1500*time.Millisecond); down {
+				t.Fatal("a line that tells its state was ended")
+			}
+		}
+		if took, down := lineEnds(e, time.Minute); !down || took > 5*time.Second {
+			t.Errorf("mute line ended %v after %v", down, took)
+		}
+	})
+}
+
+// Guards against set-ups going on to a mute line of a server whose states are not known: one that was given up, with
+// nothing heard since it was sent, ends the line. One that was overtaken does not.
+func TestLineEndsWhenNothingIsHeardSinceASetup(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			l, far, e := pipeLine(t)
+			l.Setup(routing.NewAttempt("1", 0), func() bool { return true })
+			time.Sleep(time.Second)
+			if heard {
+				state(far)
+				synctest.Wait()
+			}
+			time.Sleep(time.Second)
+			l.Cancel("1")
+			if _, down := lineEnds(e, time.Minute); down == heard {
+				t.Errorf("heard %v: line ended %v", heard, down)
+			}
+			l.conn.Close()
+		})
+	}
+}
+
+// The same on a line to a SIP server over TCP: not even a 100 came.
+func TestSIPLineEndsWhenNothingIsHeardSinceASetup(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := NewAgent(nil, Options{Budget: transport.NewBudget(9, 1), DialTimeout: time.Second, Log: log})
+	defer a.Stop()
+	e := &told{make(chan any, 9)}
+	rl, err := a.Dial(t.Context(), "sip:"+ln.Addr().String()+";transport=tcp", e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	far.SetDeadline(time.Now().Add(10 * time.Second))
+	l := rl.(*line)
+	l.Setup(routing.NewAttempt("1", 0), nil)
+	a.Post(func() { l.out["1"].at = time.Now().Add(-2 * quietLeast) })
+	l.Cancel("1")
+	if _, err := io.Copy(io.Discard, far); err != nil {
+		t.Errorf("the mute line is still open: %v", err)
+	}
+}
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -20,18 +20,23 @@
 	flow   flow
 	events routing.LineEvents
 	out    map[string]*uac
+	heard  time.Time // when the last message came on its connection
 }
 
 // uac is one set-up at a server.
 type uac struct {
 	line       *line
 	attempt    routing.Attempt
+	at         time.Time
 	tx         *clientTx
 	dialog     *dialog
 	cancelled  bool
 	sentCancel bool
 }
 
+// Lines implements routing.Dialer: transactions tell set-ups apart, so one line holds them all.
+func (a *Agent) Lines(string) int { return 1 }
+
 // Dial implements routing.Dialer for addresses of the form sip:host:port;transport=udp.
 func (a *Agent) Dial(ctx context.Context, addr string, events routing.LineEvents) (routing.Line, error) {
 	u, err := parseURI(addr)
@@ -71,7 +76,7 @@
 		return nil, err
 	}
 	if conn != nil {
-		go a.readTCP(conn, func(err error) { l.down(err) })
+		go a.readTCP(conn, l)
 	}
 	return l, nil
 }
@@ -109,7 +114,7 @@
 		m.Set("Content-Type", "application/sdp")
 		m.Body = at.Body
 	}
-	u := &uac{line: l, attempt: at}
+	u := &uac{line: l, attempt: at, at: time.Now()}
 	l.out[at.ID()] = u
 	u.tx = a.layer.request(m, l.flow, still, u.response, u.ended)
 }
@@ -204,6 +209,10 @@
 			return
 		}
 		u.cancelled = true
+		if t, ok := l.flow.(*tcpFlow); ok && l.heard.Before(u.at) && time.Since(u.at) >= quietLeast {
+			t.conn.Close() // not even a 100 since it was sent: the line is mute
+			return
+		}
 		if u.tx.state == proceeding {
 			u.cancel()
 		}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -391,10 +391,14 @@
 		Took: Now() - a.sentAt, Settled: true, Report: report})
 }
 
-// died: the process behind a peer is gone, and with it the calls that stood there since before a time.
-func (c *Core) died(p *Peer, before control.Micros) {
+// died: the process behind a peer is gone, and with it the calls that stood there since before a time. Where that is
+// not certain, the server is told that they are over.
+func (c *Core) died(p *Peer, before control.Micros, tell bool) {
 	for _, k := range c.calls {
 		if k.stands && k.out.peer == p && k.stoodAt < before {
+			if tell {
+				p.release(k.ID, CauseNormal)
+			}
 			c.finish(k, control.Cut, CauseFailed, nil)
 		}
 	}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -109,7 +109,7 @@
 	} else if h.Since > old.Since {
 		// A new process under the same id: calls that stood at the old one are over.
 		p := old.peer
-		l.core.Post(func() { l.core.died(p, h.Since) })
+		l.core.Post(func() { l.core.died(p, h.Since, false) })
 	}
 	old.Host, old.source = h, source
 	old.peer.set(h.State)
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -59,24 +60,21 @@
 // Dialer opens lines.
 type Dialer interface {
 	Dial(ctx context.Context, addr string, events LineEvents) (Line, error)
+	// Lines tells how many lines to one server are of use at a time.
+	Lines(addr string) int
 }
 
 const (
-	redialFirst = 50 * time.Millisecond
-	redialMost  = time.Second
-	lingerFor   = time.Minute
-	warnEvery   = 10 * time.Second
+	redialFirst   = 50 * time.Millisecond
+	redialMost    = time.Second
+	lingerFor     = 10 * time.Second // what the core still sends to a retired peer gets its NotSent
+	warnEvery     = 10 * time.Second
+	spentFor      = 10 * time.Second // a given-up set-up may still be answered on its line for so long
+	vanishedAfter = 4 * time.Second  // without any line; what stood at a server that vanished is owed its release in 8 s
 )
 
-type lineState int
-
-const (
-	idle lineState = iota
-	dialling
-	up
-)
-
-// Peer is the actor of one server: it keeps a line to it and knows which attempts are out there.
+// Peer is the actor of one server: it keeps lines to it and knows which attempts are out there. There are several lines
+// where the dialer has use for them, so that one that is spoilt or falls silent takes few set-ups with it.
 type Peer struct {
 	*actor.Actor
 	core   *Core
@@ -86,16 +84,15 @@
 	log    logrus.FieldLogger
 	state  atomic.Int32 // control.State as last told by the list; read by writers at a packet's first byte
 
-	line     Line
-	phase    lineState
-	events   *lineEvents
-	queued   []Attempt          // wait for the line
-	out      map[string]sending // by call
+	lanes    []*lane   // lines that are open
+	dial     *lane     // the one that is being opened, or nil
+	queued   []Attempt // wait for a line
 	redial   time.Duration
-	timer    *time.Timer
+	timer    *time.Timer   // next try to dial, nil if none is due
 	owed     []owedRelease // releases that wait for a line
-	reset    bool          // the last line was reset: the process may have died
+	reset    bool          // a line was reset since one was last opened: the process may have died
 	lostAt   control.Micros
+	darkAt   control.Micros // when the last line was lost, 0 while there is one or calls of then have been ended
 	warned   control.Micros // when a failed connect was last logged
 	ctx      context.Context
 	stopDial context.CancelFunc
@@ -103,7 +100,8 @@
 
 type sending struct {
 	Attempt
-	sent bool
+	sent  bool
+	spent bool // given up; a late answer may still come
 }
 
 type owedRelease struct {
@@ -113,7 +111,7 @@
 
 func newPeer(core *Core, server uint32, addr string, dialer Dialer, log logrus.FieldLogger) *Peer {
 	p := &Peer{Actor: actor.New(), core: core, server: server, addr: addr, dialer: dialer, log: log,
-		out: map[string]sending{}, redial: redialFirst}
+		redial: redialFirst}
 	p.ctx, p.stopDial = context.WithCancel(context.Background())
 	return p
 }
@@ -132,112 +130,149 @@
 
 func (p *Peer) ready() bool { return control.State(p.state.Load()) == control.Ready }
 
+func (p *Peer) gone() bool { return control.State(p.state.Load()) == control.Gone }
+
 // retire ends the peer of a server that the list calls gone: nothing more will come from it.
 func (p *Peer) retire() {
 	p.stopDial()
+	p.stopTimer()
+	if p.dial != nil {
+		p.dial.gone = true
+		p.dial = nil
+	}
+	for len(p.lanes) > 0 {
+		l := p.lanes[0]
+		p.drop(l)
+		l.line.Close()
+	}
+	p.failQueued(control.NotSent)
+	p.owed = nil
+	at := Now()
+	p.core.Post(func() { p.core.died(p, at+1, false) })
+	p.After(lingerFor, p.Stop)
+}
+
+func (p *Peer) stopTimer() {
 	if p.timer != nil {
 		p.timer.Stop()
+		p.timer = nil
 	}
-	line := p.line
-	p.down(errors.New("server is gone"))
-	if line != nil {
-		line.Close()
+}
+
+func (p *Peer) failQueued(code control.Code) {
+	for _, a := range p.queued {
+		p.fail(a, code)
 	}
-	at := Now()
-	p.core.Post(func() { p.core.died(p, at+1) })
-	p.After(lingerFor, p.Stop) // what was sent to it meanwhile still gets its NotSent
+	p.queued = nil
 }
 
-// connect opens the line unless there is one: calls that stand and reports of the server need it too.
+// connect opens one more line, if it is of use: calls that stand and reports of the server need one too.
 func (p *Peer) connect() {
-	if p.phase != idle || control.State(p.state.Load()) == control.Gone {
+	if p.dial != nil || p.gone() || len(p.lanes) >= p.dialer.Lines(p.addr) {
 		return
 	}
-	p.phase = dialling
-	if p.timer != nil {
-		p.timer.Stop()
-	}
-	e := &lineEvents{peer: p}
-	p.events = e
+	p.stopTimer()
+	l := &lane{peer: p, out: map[string]sending{}}
+	p.dial = l
 	go func() {
-		line, err := p.dialer.Dial(p.ctx, p.addr, e)
-		p.Post(func() { p.dialled(e, line, err) })
+		line, err := p.dialer.Dial(p.ctx, p.addr, l)
+		p.Post(func() { p.dialled(l, line, err) })
 	}()
 }
 
-func (p *Peer) dialled(e *lineEvents, line Line, err error) {
-	if p.events != e || control.State(p.state.Load()) == control.Gone {
+func (p *Peer) dialled(l *lane, line Line, err error) {
+	if l.gone || p.gone() {
 		if line != nil {
 			line.Close()
 		}
 		return
 	}
+	p.dial = nil
 	if err != nil {
-		p.phase, p.events = idle, nil
-		if now := Now(); p.warned == 0 || span(now-p.warned) >= warnEvery { // not each of the many tries
-			p.warned = now
-			p.log.WithError(err).Warn("no connection to server")
-		}
-		for _, a := range p.queued {
-			p.fail(a, control.Unreachable)
-		}
-		p.queued = nil
-		if p.reset && errors.Is(err, syscall.ECONNREFUSED) {
-			// Reset and then refused: the process died, and its calls with it. It can't release them.
-			p.reset = false
-			at := p.lostAt
-			p.core.Post(func() { p.core.died(p, at+1) })
-		}
-		p.timer = p.After(p.redial, p.connect)
-		p.redial = min(2*p.redial, redialMost)
+		p.unreachable(err)
 		return
 	}
-	p.phase, p.line, p.redial, p.reset, p.warned = up, line, redialFirst, false, 0
+	l.line = line
+	p.lanes = append(p.lanes, l)
+	p.redial, p.reset, p.darkAt, p.warned = redialFirst, false, 0, 0
 	for _, r := range p.owed {
 		line.Release(r.id, r.cause)
 	}
 	p.owed = nil
-	for _, a := range p.queued {
-		p.transmit(a)
-	}
+	queued := p.queued
 	p.queued = nil
+	for _, a := range queued {
+		p.assign(a)
+	}
 }
 
-// setup starts an attempt.
-func (p *Peer) setup(a Attempt) {
-	p.Post(func() {
-		switch {
-		case !p.ready():
-			p.fail(a, control.NotSent)
-		case p.phase == up:
-			p.transmit(a)
-		default:
-			p.queued = append(p.queued, a)
-			p.connect()
-		}
+// unreachable: no line came up.
+func (p *Peer) unreachable(err error) {
+	now := Now()
+	if p.warned == 0 || span(now-p.warned) >= warnEvery { // not each of the many tries
+		p.warned = now
+		p.log.WithError(err).Warn("no connection to server")
+	}
+	p.retry()
+	if len(p.lanes) > 0 {
+		return
+	}
+	p.failQueued(control.Unreachable)
+	switch {
+	case p.reset && errors.Is(err, syscall.ECONNREFUSED):
+		// Reset and then refused: the process died, and its calls with it. It can't release them.
+		p.reset, p.darkAt = false, 0
+		at := p.lostAt
+		p.core.Post(func() { p.core.died(p, at+1, false) })
+	case p.darkAt > 0 && span(now-p.darkAt) >= vanishedAfter:
+		// The machine vanished or is cut off, and nothing says so. Nobody else would release its calls; should it come
+		// back, it is told that they are over.
+		at := p.darkAt
+		p.darkAt = 0
+		p.log.Warn("server vanished: its calls are released")
+		p.core.Post(func() { p.core.died(p, at+1, true) })
+	}
+}
+
+// retry dials again after a wait.
+func (p *Peer) retry() {
+	p.stopTimer()
+	p.timer = p.After(p.redial, func() {
+		p.timer = nil
+		p.connect()
 	})
+	p.redial = min(2*p.redial, redialMost)
 }
 
-func (p *Peer) transmit(a Attempt) {
+// setup starts an attempt.
+func (p *Peer) setup(a Attempt) { p.Post(func() { p.assign(a) }) }
+
+// assign gives an attempt to the line with the least out on it: one that has fallen silent collects no more than others
+// have. It is never one where an earlier attempt of the call was given up, since its late answer would be taken for
+// this one's.
+func (p *Peer) assign(a Attempt) {
 	if !p.ready() || a.Deadline <= Now() {
 		p.fail(a, control.NotSent)
 		return
 	}
-	p.out[a.id] = sending{Attempt: a}
-	e := p.events
-	p.line.Setup(a, func() bool {
-		if !p.ready() {
-			return false
+	var best *lane
+	for _, l := range p.lanes {
+		if _, used := l.out[a.id]; !used && (best == nil || len(l.out) < len(best.out)) {
+			best = l
 		}
-		// From the first byte on the set-up may run: should the line break now, that is a cut, not a NotSent.
-		e.on(func(p *Peer) {
-			if o, ok := p.out[a.id]; ok && o.ref == a.ref {
-				o.sent = true
-				p.out[a.id] = o
-			}
-		})
-		return true
-	})
+	}
+	switch {
+	case best != nil:
+		if len(best.out) > 0 && p.timer == nil {
+			p.connect() // all are in use: one more for the next
+		}
+		best.transmit(a)
+	case len(p.lanes) > 0 && len(p.lanes) >= p.dialer.Lines(p.addr):
+		p.fail(a, control.NotSent)
+	default:
+		p.queued = append(p.queued, a)
+		p.connect()
+	}
 }
 
 // cancel gives up an attempt whose end the core has settled already.
@@ -249,10 +284,13 @@
 				return
 			}
 		}
-		if o, ok := p.out[r.id]; ok && o.ref == r {
-			delete(p.out, r.id)
-			if p.phase == up {
-				p.line.Cancel(r.id)
+		for _, l := range p.lanes {
+			if o, ok := l.out[r.id]; ok && o.ref == r {
+				o.spent = true
+				l.out[r.id] = o
+				p.After(spentFor, func() { l.forget(r) })
+				l.line.Cancel(r.id)
+				return
 			}
 		}
 	})
@@ -261,9 +299,15 @@
 // release ends a call that stands at the server.
 func (p *Peer) release(id string, cause int) {
 	p.Post(func() {
-		if p.phase == up {
-			p.line.Release(id, cause)
-		} else if control.State(p.state.Load()) != control.Gone {
+		var best *lane
+		for _, l := range p.lanes {
+			if best == nil || len(l.out) < len(best.out) {
+				best = l
+			}
+		}
+		if best != nil {
+			best.line.Release(id, cause)
+		} else if !p.gone() {
 			p.owed = append(p.owed, owedRelease{id, cause})
 			p.connect()
 		}
@@ -274,65 +318,110 @@
 	p.core.Post(func() { p.core.failed(a.ref, Outcome{Code: code}) })
 }
 
-// down: the line is gone, and with it the set-ups that were out on it. Calls that stand are not tied to a line.
-func (p *Peer) down(err error) {
-	p.phase, p.line, p.events = idle, nil, nil
-	for id, o := range p.out {
-		delete(p.out, id)
+// drop takes a line away, and with it the set-ups that were out on it. Calls that stand are not tied to a line.
+func (p *Peer) drop(l *lane) {
+	l.gone = true
+	p.lanes = slices.DeleteFunc(p.lanes, func(o *lane) bool { return o == l })
+	for _, o := range l.out {
+		if o.spent {
+			continue
+		}
 		code := control.NotSent
 		if o.sent {
 			code = control.Cut
 		}
 		p.fail(o.Attempt, code)
 	}
-	for _, a := range p.queued {
-		p.fail(a, control.NotSent)
-	}
-	p.queued = nil
-	p.reset, p.lostAt = errors.Is(err, syscall.ECONNRESET), Now()
+	l.out = nil
 }
 
-// lineEvents ties what a line tells to the peer, as long as it is the peer's line.
-type lineEvents struct{ peer *Peer }
+// lane is one line of a peer, and hears what it brings for as long as it is the peer's.
+type lane struct {
+	peer  *Peer
+	line  Line
+	out   map[string]sending // by call
+	heard bool               // it has brought something
+	gone  bool
+}
 
-func (e *lineEvents) on(f func(p *Peer)) {
-	e.peer.Post(func() {
-		if e.peer.events == e {
-			f(e.peer)
+func (l *lane) transmit(a Attempt) {
+	l.out[a.id] = sending{Attempt: a}
+	l.line.Setup(a, func() bool {
+		if !l.peer.ready() {
+			return false
 		}
+		// From the first byte on the set-up may run: should the line break now, that is a cut, not a NotSent.
+		l.on(func(*Peer) {
+			if o, ok := l.out[a.id]; ok && o.ref == a.ref {
+				o.sent = true
+				l.out[a.id] = o
+			}
+		})
+		return true
 	})
 }
 
-func (e *lineEvents) Answered(a Attempt, body []byte) {
-	e.on(func(p *Peer) {
-		if o, ok := p.out[a.id]; ok && o.ref == a.ref {
-			delete(p.out, a.id)
+func (l *lane) forget(r ref) {
+	if o, ok := l.out[r.id]; ok && o.ref == r {
+		delete(l.out, r.id)
+	}
+}
+
+func (l *lane) on(f func(p *Peer)) {
+	l.peer.Post(func() {
+		if !l.gone {
+			f(l.peer)
 		}
+	})
+}
+
+func (l *lane) Answered(a Attempt, body []byte) {
+	l.on(func(p *Peer) {
+		l.heard = true
+		l.forget(a.ref)
 		p.core.Post(func() { p.core.answered(p, a.ref, body) })
 	})
 }
 
-func (e *lineEvents) Failed(a Attempt, o Outcome) {
-	e.on(func(p *Peer) {
-		if out, ok := p.out[a.id]; ok && out.ref == a.ref {
-			delete(p.out, a.id)
-		}
+func (l *lane) Failed(a Attempt, o Outcome) {
+	l.on(func(p *Peer) {
+		l.forget(a.ref)
 		p.core.Post(func() { p.core.failed(a.ref, o) })
 	})
 }
 
-func (e *lineEvents) Released(id string, cause int, report []float64) {
-	e.on(func(p *Peer) { p.core.Post(func() { p.core.released(p, id, cause, report) }) })
+func (l *lane) Released(id string, cause int, report []float64) {
+	l.on(func(p *Peer) {
+		l.heard = true
+		p.core.Post(func() { p.core.released(p, id, cause, report) })
+	})
 }
 
-func (e *lineEvents) Report(report []float64) {
-	e.on(func(p *Peer) { p.core.Post(func() { p.core.status(p, report) }) })
+func (l *lane) Report(report []float64) {
+	l.on(func(p *Peer) {
+		l.heard = true
+		p.core.Post(func() { p.core.status(p, report) })
+	})
 }
 
-func (e *lineEvents) Down(err error) {
-	e.on(func(p *Peer) {
+func (l *lane) Down(err error) {
+	l.on(func(p *Peer) {
 		p.log.WithError(err).Info("connection to server ended")
-		p.down(err)
-		p.connect()
+		if p.dial == l {
+			p.dial = nil
+		}
+		p.drop(l)
+		p.reset, p.lostAt = p.reset || errors.Is(err, syscall.ECONNRESET), Now()
+		if len(p.lanes) == 0 {
+			p.failQueued(control.NotSent)
+			if p.darkAt == 0 {
+				p.darkAt = p.lostAt
+			}
+		}
+		if l.heard {
+			p.connect() // a release that the server could not send on it comes on the next one
+		} else { // it came up and brought nothing: not at once again
+			p.retry()
+		}
 	})
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -124,12 +124,15 @@
 	core  *Core
 	list  *List
 	wires map[string]*wire
+	lines int // to each server, 1 if not set
 }
 
 func (b *bench) Dial(ctx context.Context, addr string, e LineEvents) (Line, error) {
 	return b.wires[addr].Dial(ctx, addr, e)
 }
 
+func (b *bench) Lines(string) int { return max(1, b.lines) }
+
 func newBench(servers ...string) *bench {
 	b := &bench{wires: map[string]*wire{}}
 	b.core = NewCore(settings(), 1, quiet())
@@ -386,6 +389,132 @@
 	})
 }
 
+// lineWire is a stand-in for a server with several lines, each with set-ups of its own.
+type lineWire struct {
+	lines []*wire
+	quiet bool // new lines bring nothing
+	fault error
+}
+
+func (w *lineWire) Lines(string) int { return 3 }
+
+func (w *lineWire) Dial(ctx context.Context, addr string, e LineEvents) (Line, error) {
+	if w.fault != nil {
+		return nil, w.fault
+	}
+	one := newWire()
+	w.lines = append(w.lines, one)
+	if !w.quiet {
+		e.Report(nil)
+	}
+	return one.Dial(ctx, addr, e)
+}
+
+func newLineBench() (*bench, *lineWire) {
+	w := &lineWire{}
+	b := &bench{core: NewCore(settings(), 1, quiet())}
+	b.list = NewList(b.core, w, quiet())
+	b.set("a", 0, control.Ready)
+	synctest.Wait()
+	return b, w
+}
+
+// Guards against one spoilt line taking all that is out at a server: set-ups are spread, and only its own are cut.
+func TestSetupsAreSpreadOverLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, w := newLineBench()
+		defer b.end()
+		p := b.list.hosts["a"].peer
+		for i := range 9 { // past the module, whose room for a server it has just met is small
+			a := NewAttempt(fmt.Sprint(i), 0)
+			a.Deadline = Now() + 1e6
+			p.setup(a)
+			synctest.Wait()
+		}
+		if len(w.lines) != 3 {
+			t.Fatalf("%d lines, want 3", len(w.lines))
+		}
+		for i, l := range w.lines {
+			if n := len(l.out); n < 2 || n > 4 {
+				t.Errorf("%d set-ups on line %d", n, i)
+			}
+		}
+		w.lines[0].reset()
+		synctest.Wait()
+		if left := len(w.lines[1].out) + len(w.lines[2].out); left < 5 || len(w.lines) != 4 {
+			t.Errorf("%d set-ups left, %d lines opened in all; want 5 or more, 4", left, len(w.lines))
+		}
+	})
+}
+
+// Guards against a late answer of an attempt that was given up being taken for the call's next attempt: servers name the
+// call alone, so that one goes by another line.
+func TestNextAttemptGoesByAnotherLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, w := newLineBench()
+		defer b.end()
+		p := b.list.hosts["a"].peer
+		for n := range 3 {
+			a := NewAttempt("1", n)
+			a.Deadline = Now() + 1e6
+			p.setup(a)
+			synctest.Wait()
+			p.cancel(a.ref)
+			synctest.Wait()
+		}
+		if len(w.lines) != 3 {
+			t.Errorf("%d lines for three attempts of a call, want 3", len(w.lines))
+		}
+	})
+}
+
+// Guards against calls left standing at a machine that vanished: nothing says so, and its lines can't be opened anew.
+// Should it come back, it is told that they are over.
+func TestCallsOfAVanishedServerAreReleasedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, w := newLineBench()
+		defer b.end()
+		c := b.call("1", time.Second)
+		w.lines[0].answer("1", "")
+		synctest.Wait()
+		w.fault = os.ErrDeadlineExceeded
+		w.lines[0].events.Down(errors.New("mute"))
+		b.sleep(3 * time.Second)
+		if c.releases != 0 {
+			t.Error("released after 3 s: the server may come back")
+		}
+		b.sleep(3500 * time.Millisecond) // 1.5 s of the 8 s are for noticing that it is mute
+		if c.releases != 1 {
+			t.Errorf("%d releases after 6.5 s, want 1", c.releases)
+		}
+		w.fault = nil
+		b.sleep(2 * time.Second)
+		if n := len(w.lines); n != 2 || w.lines[1].byes["1"] != 1 {
+			t.Errorf("%d lines; the server was not told", n)
+		}
+	})
+}
+
+// A server that takes connections and closes them at once is not dialled again without a pause.
+func TestLineThatBroughtNothingIsNotOpenedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, w := newLineBench()
+		defer b.end()
+		w.quiet = true
+		for range 3 {
+			w.lines[len(w.lines)-1].events.Down(io.EOF)
+			synctest.Wait()
+		}
+		if n := len(w.lines); n != 2 {
+			t.Errorf("%d lines opened at one moment, want 2", n)
+		}
+		b.sleep(time.Second)
+		if n := len(w.lines); n != 3 {
+			t.Errorf("%d lines opened, want 3", n)
+		}
+	})
+}
+
 // model is what a caller may see, whatever happens at the wires.
 type model struct {
 	caller *caller
