--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,7 @@
 	thinFade     = 2e6    // us; time in which thinning fades while the wait is seen under half its target
 	thinEase     = -0.5   // targets under the target of wait from which thinning also fades
 	thinForget   = 15e6   // us; time in which it fades unseen
-	reenterThin  = 0.9    // thinned part of a server just out of the gate
+	reenterAll   = 15     // fronts with which half of the calls are thinned just out of the gate
 	lineReserve  = 0.02   // part of a pool's agents kept for the dearer calls
 	lifeSigns    = 3.0    // answers and ends due from a live server that must be missing to take it for dead
 	unitSpan     = 90e6   // us; memory of the best own rate at a warm server
@@ -81,16 +81,17 @@
 	state    State
 	since    Micros
 	level    int
-	wait     float64 // us; estimate of the wait at the processor
-	seen     Micros  // when the wait was last seen
-	fallFor  Micros  // this front's own silent fall time
-	thin     float64 // part of the calls, by worth, kept from it
-	lastWait float64 // us; wait at the last tick
-	fadedAt  Micros  // when thinning last faded by a sight
-	out      []*call // calls with an unanswered set-up, oldest first
-	spare    float64 // free agents, -1 if not known
-	total    float64 // agents, 0 if not known: the only sign of a server's size
-	rate     float64 // own set-ups answered, a second
+	wait     float64    // us; estimate of the wait at the processor
+	seen     Micros     // when the wait was last seen
+	fallFor  Micros     // this front's own silent fall time
+	thin     float64    // part of the calls, by worth, kept from it
+	lastWait float64    // us; wait at the last tick
+	fadedAt  Micros     // when thinning last faded by a sight
+	out      []*call    // calls with an unanswered set-up, oldest first
+	spare    float64    // free agents, -1 if not known
+	total    float64    // agents, 0 if not known: the only sign of a server's size
+	told     [2]float64 // queue and use of its processor as last reported
+	rate     float64    // own set-ups answered, a second
 	rateAt   Micros
 	lotEnd   Micros // when the lot of this front's share ends
 	lot      int    // set-ups left in it
@@ -334,9 +335,11 @@
 		c.note(s, "gated at level %d: wait %.0f ms", s.level, s.wait/1000)
 	}
 	if was >= gateLevel && s.level < gateLevel {
-		// Exception, re-entry: all fronts leave the gate at about the same time, so each starts with a small
-		// part of its calls: one set-up each would be a full load where there are hundreds of fronts.
-		s.thin = max(s.thin, reenterThin)
+		// Exception, re-entry: all fronts leave the gate at about the same time, so each starts with a part of
+		// its calls: one set-up each would be a full load where there are hundreds of fronts. Where there are
+		// few, more kept back only prolongs a short gate, as one noisy report makes it.
+		fronts := float64(max(1, c.set.Fronts))
+		s.thin = max(s.thin, fronts/(fronts+reenterAll))
 		s.fadedAt = c.now
 		c.note(s, "open again at level %d", s.level)
 	}
@@ -349,6 +352,7 @@
 
 // report reads the load report of a server. Values that are missing (-1) say nothing.
 func (c *Controller) report(s *server, row []float64) (told bool) {
+	repeated := c.repeated(s, row)
 	for i, v := range row {
 		if i >= len(c.set.Report) || v < 0 {
 			continue
@@ -362,14 +366,37 @@
 			c.see(s, v*1000)
 			told = true
 		case Queue:
-			c.see(s, v/queueGate*c.gate)
+			if !repeated {
+				c.see(s, v/queueGate*c.gate)
+			}
 		case Busy:
-			c.seeBusy(s, v)
+			if !repeated {
+				c.seeBusy(s, v)
+			}
 		}
 	}
 	return told
 }
 
+// repeated tells whether a report repeats the use of the processor and its queue. They are measured now
+// and then, and each message meanwhile brings the last figures again: newer delays must not give way to them.
+func (c *Controller) repeated(s *server, row []float64) bool {
+	told := [2]float64{-1, -1}
+	for i, v := range row[:min(len(row), len(c.set.Report))] {
+		switch c.set.Report[i] {
+		case Queue:
+			told[0] = v
+		case Busy:
+			told[1] = v
+		}
+	}
+	if told[0] < 0 && told[1] < 0 || told == s.told {
+		return true
+	}
+	s.told = told
+	return false
+}
+
 // seeBusy takes a reported use of the processor by the design page's ladder: onsets of levels 1 and 2, each
 // abating a tenth lower.
 func (c *Controller) seeBusy(s *server, v float64) {
