Refuse what servers can't use, close silent callers, make room when descriptors run short

Looked into: the log had 4,980 set-ups under an open id dropped without a word, and unknown types passed over. Review: a second caller's withdrawal or hang-up under an open id ended the first caller's set-up (Core.Withdraw and Hangup went by id alone); an unknown class, a key with any bytes and figures out of range were handed on; a bad message withdrew the good calls before it; Front.waiting had no bound; a cause out of range went on to servers. Ruled out: memory (16 of 64 MB).

Faulty lines: Front.take and setup, Core.open, Withdraw and Hangup, Listener.Serve (closed the new connection at the limit), Front.Serve and Agent.readTCP (no read deadline). The same checks hold on the SIP front.

--- a/cmd/beammux/node.go
+++ b/cmd/beammux/node.go
@@ -237,8 +237,8 @@
 	node *node
 }
 
-func (r restarted) Hangup(id string, cause int, done func(known bool)) {
-	r.Core.Hangup(id, cause, func(known bool) {
+func (r restarted) Hangup(id string, cause int, caller routing.Caller, done func(known bool)) {
+	r.Core.Hangup(id, cause, caller, func(known bool) {
 		if !known && r.node.agent != nil {
 			r.node.agent.OrphanHangup(id, cause)
 		}
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -3,8 +3,9 @@
 import (
 	"bufio"
 	"errors"
-	"math"
 	"net"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,13 +21,24 @@
 const (
 	causeInvalid = 100             // a set-up whose fields can't be read
 	keepOrphan   = 8 * time.Second // a release without any connection waits so long for one
+	maxWaiting   = 4096            // releases that so wait
+	maxLeft      = 10 * time.Minute
+	maxOpen      = 512 // set-ups of one connection; what comes beyond is read once some are answered
+)
+
+// The times that a connection has. Silent and finished callers must not hold descriptors for good.
+const (
+	firstWithin = 2500 * time.Millisecond // for its first whole message
+	wholeWithin = 2 * time.Second         // for a message that has begun
+	idleFor     = 10 * time.Second        // without a call on it; callers themselves close after 4 s
+	settleFor   = 2 * time.Second         // to answer what is open after a message that can't be read
 )
 
 // Core is the part of the routing core that a front needs.
 type Core interface {
 	Open(routing.Setup, routing.Caller)
-	Withdraw(id string, done func(inTime bool))
-	Hangup(id string, cause int, done func(known bool))
+	Withdraw(id string, caller routing.Caller, done func(inTime bool))
+	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
 }
 
 // Front serves callers.
@@ -37,7 +49,8 @@
 	draining atomic.Bool
 
 	mu      sync.Mutex
-	conns   []*conn // open ones, oldest first
+	conns   []*conn          // open ones, oldest first
+	stands  map[string]*conn // calls that stand: where their set-up came
 	waiting []late
 }
 
@@ -48,7 +61,7 @@
 
 // NewFront makes a front; classes gives each class's place in the settings by its name.
 func NewFront(core Core, classes []string, log logrus.FieldLogger) *Front {
-	f := &Front{core: core, classes: map[string]int{}, log: log}
+	f := &Front{core: core, classes: map[string]int{}, stands: map[string]*conn{}, log: log}
 	for i, name := range classes {
 		f.classes[name] = i
 	}
@@ -63,37 +76,117 @@
 	*transport.Conn
 	mu   sync.Mutex
 	open map[string]*caller
+	room chan struct{} // told when a set-up ends
 }
 
 func (c *conn) send(m Message) bool {
 	return c.Send(transport.Packet{Data: m.Append(nil)}) == nil
 }
 
+// add notes a set-up.
+func (c *conn) add(k *caller) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[k.id] = k
+	c.Hold()
+}
+
+// done takes a set-up off the connection that has its end.
+func (c *conn) done(k *caller) {
+	c.mu.Lock()
+	if c.open[k.id] == k {
+		delete(c.open, k.id)
+		c.Unhold()
+	}
+	c.mu.Unlock()
+	select {
+	case c.room <- struct{}{}:
+	default:
+	}
+}
+
+func (c *conn) caller(id string) *caller {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[id]
+}
+
+// await blocks while more than some set-ups are open, until a time or the end of the connection.
+func (c *conn) await(most int, limit <-chan time.Time) {
+	for {
+		c.mu.Lock()
+		n := len(c.open)
+		c.mu.Unlock()
+		if n <= most {
+			return
+		}
+		select {
+		case <-c.room:
+		case <-limit:
+			return
+		case <-c.Gone():
+			return
+		}
+	}
+}
+
 // Serve reads one connection until it ends.
 func (f *Front) Serve(tc *transport.Conn) {
-	c := &conn{Conn: tc, open: map[string]*caller{}}
+	c := &conn{Conn: tc, open: map[string]*caller{}, room: make(chan struct{}, 1)}
 	f.enter(c)
 	defer f.leave(c)
+	log := f.log.WithField("caller", tc.RemoteAddr())
+	first := time.Now().Add(firstWithin)
 	r := NewReader(bufio.NewReaderSize(tc, MaxMessage))
 	for {
-		m, err := r.Next()
+		m, err := c.next(r, first)
 		if err == nil {
+			first = time.Time{}
+			c.Spoke()
 			err = f.take(c, &m)
 		}
 		switch {
 		case err == nil:
+			c.await(maxOpen, nil) // what a flood sends waits in its own connection
 		case errors.Is(err, ErrTooLong), errors.Is(err, ErrMalformed):
-			f.log.WithField("caller", tc.RemoteAddr()).WithError(err).Warn("bad message: connection closed")
+			log.WithError(err).Warn("bad message: connection closed")
+			c.await(0, time.After(settleFor)) // calls that came before it are still owed their answer
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			log.Debug("caller is silent: connection closed")
+			c.await(0, time.After(settleFor))
 			return
 		default:
 			if ne := net.Error(nil); errors.As(err, &ne) {
-				f.log.WithField("caller", tc.RemoteAddr()).WithError(err).Debug("caller's connection broke")
+				log.WithError(err).Debug("caller's connection broke")
 			}
 			return
 		}
 	}
 }
 
+// next reads a message within its times. first is by when it must be whole if it is the connection's first, else zero.
+func (c *conn) next(r *Reader, first time.Time) (Message, error) {
+	for {
+		limit := first
+		if first.IsZero() {
+			limit = time.Now().Add(idleFor)
+		}
+		c.SetReadDeadline(limit)
+		err := r.Wait()
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.InUse() {
+			continue // its caller waits for an answer, or for the end of a call
+		}
+		if err != nil {
+			return Message{}, err
+		}
+		if first.IsZero() {
+			c.SetReadDeadline(time.Now().Add(wholeWithin))
+		}
+		return r.Next()
+	}
+}
+
 func (f *Front) enter(c *conn) {
 	f.mu.Lock()
 	f.conns = append(f.conns, c)
@@ -121,8 +214,27 @@
 	open := c.open
 	c.open = nil
 	c.mu.Unlock()
-	for id := range open {
-		f.core.Withdraw(id, nil)
+	for id, k := range open {
+		c.Unhold()
+		f.core.Withdraw(id, k, nil)
+	}
+}
+
+// stand notes a call that stands, so that its connection is kept for its end.
+func (f *Front) stand(k *caller) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stands[k.id] = k.conn
+	k.conn.Call(1)
+}
+
+// over notes the end of a call, whoever ended it.
+func (f *Front) over(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.stands[id]; c != nil {
+		delete(f.stands, id)
+		c.Call(-1)
 	}
 }
 
@@ -138,67 +250,93 @@
 			return
 		}
 	}
-	f.waiting = append(f.waiting, w)
+	now := time.Now()
+	f.waiting = slices.DeleteFunc(f.waiting, func(w late) bool { return now.After(w.till) })
+	f.waiting = append(f.waiting[max(0, len(f.waiting)+1-maxWaiting):], w)
 }
 
+// take acts on one message. A fault ends the connection.
 func (f *Front) take(c *conn, m *Message) error {
 	switch m.Type {
 	case "open":
-		s, err := f.setup(m)
-		if err != nil {
-			c.send(Message{Type: "close", ID: m.ID, Code: causeInvalid})
-			return err
-		}
-		k := &caller{front: f, conn: c, id: m.ID}
-		c.mu.Lock()
-		_, twice := c.open[m.ID]
-		if !twice {
-			c.open[m.ID] = k
-		}
-		c.mu.Unlock()
-		if twice {
-			f.log.WithField("call", m.ID).Warn("set-up sent twice on a connection: the second is dropped")
-			return nil
-		}
-		f.core.Open(s, k)
+		f.open(c, m)
 	case "close":
-		c.done(m.ID)
-		f.core.Hangup(m.ID, m.Code, func(bool) { c.send(Message{Type: "closed", ID: m.ID}) })
+		var own routing.Caller
+		if k := c.caller(m.ID); k != nil {
+			c.done(k)
+			own = k
+		}
+		f.over(m.ID)
+		f.core.Hangup(m.ID, m.Code, own, func(bool) { c.send(Message{Type: "closed", ID: m.ID}) })
 	case "probe":
 		passed := 1
 		if f.draining.Load() {
 			passed = 0
 		}
 		c.send(Message{Type: "probed", ID: m.ID, Code: passed})
+	case "closed", "trying": // free, and mean nothing here
+	default:
+		return ErrMalformed
 	}
-	return nil // unknown types are passed over
+	return nil
 }
 
-func (c *conn) done(id string) {
-	c.mu.Lock()
-	delete(c.open, id)
-	c.mu.Unlock()
+// open takes a set-up. One that can't be read, and a second one under an id that is open on the connection, are told so:
+// the latter ends the first too, since nothing says which of the two is meant.
+func (f *Front) open(c *conn, m *Message) {
+	invalid := func() { c.send(Message{Type: "close", ID: m.ID, Code: causeInvalid}) }
+	k := &caller{front: f, conn: c, id: m.ID}
+	if first := c.caller(m.ID); first != nil {
+		f.core.Withdraw(m.ID, first, func(inTime bool) {
+			if inTime {
+				c.done(first)
+				invalid()
+			}
+		})
+		return
+	}
+	s, err := f.setup(m)
+	if err != nil {
+		invalid()
+		return
+	}
+	c.add(k)
+	f.core.Open(s, k)
 }
 
+// setup reads the fields of a set-up. What a server can't read must not get to it: it would close the connection, and
+// with it others' calls.
 func (f *Front) setup(m *Message) (routing.Setup, error) {
 	left, err := strconv.ParseFloat(m.Attrs["left"], 64)
-	if err != nil || math.IsNaN(left) || left < 0 || left > 1e9 {
+	if err != nil || !(left >= 0 && left <= float64(maxLeft/time.Millisecond)) {
 		return routing.Setup{}, ErrMalformed
 	}
-	s := routing.Setup{ID: m.ID, Class: -1, Key: m.Attrs["key"], FirstChoice: -1,
-		Left: time.Duration(left * float64(time.Millisecond)), Body: []byte(m.Text)}
-	if i, ok := f.classes[m.Attrs["class"]]; ok {
-		s.Class = i
+	class, known := f.classes[m.Attrs["class"]]
+	key := m.Attrs["key"]
+	if !known || key == "" || !routing.ValidKey(key) || len(m.Text) > routing.MaxBody {
+		return routing.Setup{}, ErrMalformed
 	}
+	s := routing.Setup{ID: m.ID, Class: class, Key: key, FirstChoice: -1,
+		Left: time.Duration(left * float64(time.Millisecond)), Body: []byte(m.Text)}
 	for part := range strings.SplitSeq(m.Attrs["extras"], ";") {
 		name, value, _ := strings.Cut(part, ":")
-		n, err := strconv.Atoi(value)
-		if err != nil {
+		least := -1 // none
+		switch name {
+		case "dest", "via":
+		case "width":
+			least = 1
+		case "again":
+			least = 0
+		default:
 			continue
 		}
+		n, err := strconv.ParseInt(value, 10, 32)
+		if err != nil || int(n) < least {
+			return routing.Setup{}, ErrMalformed
+		}
 		switch name {
 		case "dest":
-			s.FirstChoice = n
+			s.FirstChoice = int(n)
 		case "again":
 			s.WasCut = n != 0
 		}
@@ -220,12 +358,13 @@
 }
 
 func (k *caller) Answer(body []byte) bool {
-	k.conn.done(k.id)
+	k.front.stand(k)
+	k.conn.done(k)
 	return k.conn.send(Message{Type: "ready", ID: k.id, Text: string(body)})
 }
 
 func (k *caller) Refuse(wait time.Duration) {
-	k.conn.done(k.id)
+	k.conn.done(k)
 	m := Message{Type: "close", ID: k.id, Code: routing.CauseCongest}
 	if ms := wait.Milliseconds(); ms > 0 {
 		m.Attrs = map[string]string{"wait": strconv.FormatInt(ms, 10)}
@@ -234,11 +373,12 @@
 }
 
 func (k *caller) Fail() {
-	k.conn.done(k.id)
+	k.conn.done(k)
 	k.conn.send(Message{Type: "close", ID: k.id, Code: routing.CauseFailed})
 }
 
 func (k *caller) Release(cause int) {
+	k.front.over(k.id)
 	m := Message{Type: "close", ID: k.id, Code: cause}
 	k.front.deliver(k.conn, late{m.Append(nil), time.Now().Add(keepOrphan)})
 }
--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,8 +25,13 @@
 }
 
 func (c *core) Open(s routing.Setup, k routing.Caller) { c.callers <- k; c.opened <- s }
-func (c *core) Withdraw(id string, _ func(bool))       { c.withdrawn <- id }
-func (c *core) Hangup(id string, _ int, done func(bool)) {
+func (c *core) Withdraw(id string, _ routing.Caller, done func(bool)) {
+	c.withdrawn <- id
+	if done != nil {
+		done(true)
+	}
+}
+func (c *core) Hangup(id string, _ int, _ routing.Caller, done func(bool)) {
 	c.hungUp <- id
 	done(true)
 }
@@ -142,37 +149,184 @@
 func TestBadInput(t *testing.T) {
 	b := newBench(t)
 	good, r := b.connect()
-	for _, row := range []struct{ name, line, answer string }{
-		{"not JSON", "{\n", ""},
-		{"not an object", "[1]\n", ""},
-		{"no id", `{"msg":"open","attrs":{}}` + "\n", ""},
-		{"bad id", `{"msg":"open","sid":"xyz","attrs":{}}` + "\n", ""},
-		{"code is text", `{"msg":"close","sid":"` + id + `","code":"x"}` + "\n", ""},
-		{"left missing", `{"msg":"open","sid":"` + id + `","attrs":{}}` + "\n", `"code":100`},
-		{"left is no number", `{"msg":"open","sid":"` + id + `","attrs":{"left":"NaN"}}` + "\n", `"code":100`},
-		{"too long", strings.Repeat("x", MaxMessage+1), ""},
+	for _, row := range []struct{ name, line string }{
+		{"not JSON", "{\n"},
+		{"not an object", "[1]\n"},
+		{"no id", `{"msg":"open","attrs":{}}` + "\n"},
+		{"bad id", `{"msg":"open","sid":"xyz","attrs":{}}` + "\n"},
+		{"code is text", `{"msg":"close","sid":"` + id + `","code":"x"}` + "\n"},
+		{"unknown type", `{"msg":"news","sid":"` + id + `"}` + "\n"},
+		{"too long", strings.Repeat("x", MaxMessage+1)},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c, r := b.connect()
 			go io.WriteString(c, row.line)
-			got, _ := io.ReadAll(r)
-			if !strings.Contains(string(got), row.answer) || row.answer == "" && len(got) > 0 {
-				t.Errorf("answered %q, want %q", got, row.answer)
+			if got, err := io.ReadAll(r); len(got) > 0 || err != nil {
+				t.Errorf("answered %q, %v; want a close", got, err)
 			}
 		})
 	}
-	io.WriteString(good, `{"msg":"news","sid":"`+id+`"}`+"\n"+open(id)) // unknown types are passed over
+	io.WriteString(good, open(id))
 	(<-b.core.callers).Fail()
 	if got := b.line(r); !strings.Contains(got, `"code":41`) {
 		t.Error(got)
 	}
 }
 
-func TestUnknownClassIsTaken(t *testing.T) {
+// Guards against set-ups getting to servers that they can't read or use: a server closes on them, and takes along what
+// others have out on that connection. The connection stays, and so do its other calls.
+func TestSetupsThatNoServerCanUse(t *testing.T) {
+	b := newBench(t)
+	c, r := b.connect()
+	for _, change := range [][2]string{
+		{`"left":"1500"`, `"x":"1"`}, {`"1500"`, `"NaN"`}, {`"1500"`, `"-1"`}, {`"1500"`, `"1e9"`}, {`"1500"`, `"soon"`},
+		{"diet-order", "video"}, {`"7f3a"`, `""`}, {"7f3a", `7 f`}, {"7f3a", `7\r\nX: y`}, {"7f3a", `7\u0000`}, {"7f3a", "é"},
+		{"7f3a", strings.Repeat("7", 200)}, {"dest:2", "dest:x"}, {"dest:2", "dest:99999999999"}, {"width:1", "width:0"},
+		{"again:1", "again:"}, {`a\r\nb`, strings.Repeat("x", 15<<10+1)},
+	} {
+		line := strings.Replace(open(id), change[0], change[1], 1)
+		if line == open(id) {
+			t.Fatalf("%q changes nothing", change)
+		}
+		io.WriteString(c, line)
+		if got := b.line(r); !strings.Contains(got, `"close","sid":"`+id) || !strings.Contains(got, `"code":100`) {
+			t.Errorf("%q: answered %s", change, got)
+		}
+	}
+	select {
+	case s := <-b.core.opened:
+		t.Errorf("handed on: %+v", s)
+	default:
+	}
+	io.WriteString(c, open(id))
+	(<-b.core.callers).Fail()
+	b.line(r)
+}
+
+// A second set-up under an open id gets a word, and the id one final answer.
+func TestSecondSetupUnderAnOpenID(t *testing.T) {
+	b := newBench(t)
+	c, r := b.connect()
+	io.WriteString(c, open(id)+strings.Replace(open(id), `a\r\nb`, "other", 1)+open("0000000000000002"))
+	<-b.core.callers
+	if got := <-b.core.withdrawn; got != id {
+		t.Errorf("withdrew %s", got)
+	}
+	if got := b.line(r); !strings.Contains(got, id) || !strings.Contains(got, `"code":100`) {
+		t.Error(got)
+	}
+	(<-b.core.callers).Fail()
+	if got := b.line(r); !strings.Contains(got, "0000000000000002") {
+		t.Errorf("a second answer: %s", got)
+	}
+}
+
+// Calls that came before a message that can't be read are still answered, and then the connection is closed.
+func TestOpenCallsAreAnsweredBeforeABadMessageCloses(t *testing.T) {
+	b := newBench(t)
+	c, r := b.connect()
+	io.WriteString(c, open(id)+"{\n")
+	(<-b.core.callers).Refuse(0)
+	if got := b.line(r); !strings.Contains(got, `"code":34`) {
+		t.Error(got)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("not closed: %v", err)
+	}
+}
+
+// pipe gives the caller's end of a connection in a bubble, and when it ended.
+func (b *bench) pipe() (net.Conn, chan time.Time) {
+	near, far := net.Pipe()
+	ended := make(chan time.Time, 1)
+	go func() {
+		c := transport.NewConn(far, nil)
+		b.front.Serve(c)
+		ended <- time.Now()
+		c.Close()
+	}()
+	go io.Copy(io.Discard, near)
+	return near, ended
+}
+
+// Guards against silent and finished callers holding descriptors for good: a close is owed within 3 s where nothing whole
+// was sent, and in time where all is over. A connection with a call is left alone.
+func TestConnectionsWithoutCallsAreClosed(t *testing.T) {
+	for _, row := range []struct {
+		name, send  string
+		least, most time.Duration
+	}{
+		{"silent", "", 0, 3 * time.Second},
+		{"half a line", `{"msg":"open",`, 0, 3 * time.Second},
+		{"blank lines", "\n\n\n", 0, 3 * time.Second},
+		{"finished", `{"msg":"probe","sid":"` + id + `"}` + "\n", 4 * time.Second, 15 * time.Second},
+		{"half a line after a whole one", `{"msg":"probe","sid":"` + id + `"}` + "\n{", 0, 3 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t)
+			c, ended := b.pipe()
+			began := time.Now()
+			io.WriteString(c, row.send)
+			if took := (<-ended).Sub(began); took < row.least || took > row.most {
+				t.Errorf("%s: closed after %v", row.name, took)
+			}
+			c.Close()
+			synctest.Wait()
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		c, ended := b.pipe()
+		io.WriteString(c, open(id))
+		k := <-b.core.callers
+		time.Sleep(30 * time.Second) // owed an answer
+		k.Answer(nil)
+		time.Sleep(30 * time.Second) // stands
+		if len(ended) > 0 {
+			t.Fatal("closed under a call")
+		}
+		released := time.Now()
+		k.Release(16)
+		if took := (<-ended).Sub(released); took > 15*time.Second {
+			t.Errorf("closed %v after the call's end", took)
+		}
+		c.Close()
+		synctest.Wait()
+	})
+}
+
+// Guards against a flood of one connection filling the core: it is read on as its set-ups end.
+func TestFloodWaitsInItsOwnConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c := &core{make(chan routing.Setup, 2*maxOpen), make(chan routing.Caller, 2*maxOpen), make(chan string, 2*maxOpen), make(chan string, 9)}
+		b := &bench{t: t, core: c, front: NewFront(c, []string{"diet-order"}, log)}
+		near, ended := b.pipe()
+		go func() {
+			for i := range maxOpen + 9 {
+				io.WriteString(near, open(fmt.Sprintf("%016x", i)))
+			}
+		}()
+		synctest.Wait()
+		if n := len(c.callers); n > maxOpen+1 {
+			t.Errorf("%d set-ups taken at once", n)
+		}
+		for range maxOpen + 9 {
+			(<-c.callers).Fail()
+		}
+		near.Close()
+		<-ended
+	})
+}
+
+// Releases that wait for a connection are bounded.
+func TestWaitingReleasesAreBounded(t *testing.T) {
 	b := newBench(t)
-	c, _ := b.connect()
-	io.WriteString(c, strings.Replace(open(id), "diet-order", "video", 1))
-	if s := <-b.core.opened; s.Class != -1 {
-		t.Errorf("class %d", s.Class)
+	for i := range maxWaiting + 9 {
+		b.front.Orphan(fmt.Sprintf("%016x", i), 16)
+	}
+	if n := len(b.front.waiting); n != maxWaiting {
+		t.Errorf("%d releases wait, at most %d may", n, maxWaiting)
 	}
 }
--- a/internal/protocol/jsonl/message.go
+++ b/internal/protocol/jsonl/message.go
@@ -36,6 +36,12 @@
 // NewReader reads from in, whose buffer should hold MaxMessage bytes.
 func NewReader(in *bufio.Reader) *Reader { return &Reader{in: in} }
 
+// Wait returns when a message begins or the stream ends.
+func (r *Reader) Wait() error {
+	_, err := r.in.Peek(1)
+	return err
+}
+
 // Next gives the next message. After ErrTooLong or ErrMalformed the stream is of no more use; the message then holds
 // what could be read of it.
 func (r *Reader) Next() (m Message, err error) {
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -20,8 +20,8 @@
 // Core is the part of the routing core that the front needs.
 type Core interface {
 	Open(routing.Setup, routing.Caller)
-	Withdraw(id string, done func(inTime bool))
-	Hangup(id string, cause int, done func(known bool))
+	Withdraw(id string, caller routing.Caller, done func(inTime bool))
+	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
 }
 
 // Dialogs keeps records of calls that stand, for the next start. Its methods must not block.
@@ -61,8 +61,11 @@
 	once     sync.Once
 }
 
-// requestWithin is how long a message on a TCP connection may take once it has begun.
-const requestWithin = 2 * time.Second
+// The times that a TCP connection has.
+const (
+	requestWithin = 2 * time.Second  // for a message that has begun
+	silentFor     = 10 * time.Second // for a caller's first message
+)
 
 const allow = "INVITE, ACK, CANCEL, BYE, OPTIONS, NOTIFY"
 
@@ -237,12 +240,20 @@
 
 // readTCP reads a connection until it ends. l, if not nil, is the line whose connection it is.
 func (a *Agent) readTCP(c *transport.Conn, l *line) {
-	key := c.RemoteAddr().String()
+	key, first := c.RemoteAddr().String(), true
 	a.Post(func() { a.conns[key] = c })
+	if l == nil { // a caller that says nothing must not hold a descriptor for good
+		c.SetReadDeadline(time.Now().Add(silentFor))
+	}
 	r := NewConnReader(c, requestWithin)
 	for {
 		m, err := r.Next()
 		if err == nil {
+			c.Spoke()
+			if first {
+				first = false
+				c.SetReadDeadline(time.Time{})
+			}
 			a.Post(func() {
 				if l != nil {
 					l.heard = time.Now()
@@ -577,7 +588,11 @@
 		return // both sides hung up at once
 	}
 	if !d.Server {
-		a.core.Hangup(d.ID, why, func(known bool) {
+		var caller routing.Caller
+		if d.call != nil {
+			caller = d.call
+		}
+		a.core.Hangup(d.ID, why, caller, func(known bool) {
 			if !known {
 				a.OrphanHangup(d.ID, why)
 			}
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -421,3 +422,26 @@
 		t.Errorf("ACK to %s by %v, want %v", ack.URI, got, want)
 	}
 }
+
+// Guards against set-ups getting to servers that they can't read or use, as on the JSON front.
+func TestInvitesThatNoServerCanUse(t *testing.T) {
+	server := New(t, nil)
+	b := newBench(t, time.Second, host("a", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	for i, row := range []struct {
+		class, key, body string
+		status           int
+	}{
+		{"video", "1", "", 400}, {"menu-view", "a\"b", "", 400}, {"menu-view", strings.Repeat("7", 200), "", 400},
+		{"menu-view", "1", strings.Repeat("x", routing.MaxBody+1), 413},
+	} {
+		m := caller.Invite("TCP", fmt.Sprint("bad", i), row.key, row.body).Set("X-Cos", row.class)
+		caller.Send("TCP", b.agent.Addr("TCP"), m)
+		caller.Wait("refusal", func(r *sip.Message) bool {
+			return Status(row.status, "INVITE")(r) && r.Get("Call-ID") == m.Get("Call-ID")
+		})
+	}
+	if n := server.Count(Is("INVITE")); n != 0 {
+		t.Errorf("%d set-ups came to the server", n)
+	}
+}
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
 	"beammux/internal/routing"
+	"beammux/internal/transport"
 )
 
 // uasCall is the caller's side of a call. It is the core's Caller; what the core tells is posted to the agent.
@@ -14,6 +16,7 @@
 	agent  *Agent
 	tx     *serverTx
 	flow   flow
+	held   *transport.Conn // while it is owed an answer
 	req    *Message
 	id     string
 	tag    string
@@ -57,7 +60,10 @@
 	case err != nil:
 		refuse(416, "Unsupported URI Scheme")
 		return
-	case bad:
+	case len(m.Body) > routing.MaxBody:
+		refuse(413, "Request Entity Too Large")
+		return
+	case bad, !routing.ValidKey(s.Key):
 		refuse(400, "Bad Request")
 		return
 	case len(m.list("Require")) > 0:
@@ -66,27 +72,42 @@
 	}
 	t.respond(Respond(m, 100, "Trying"))
 	a.calls[t] = k
+	k.hold()
 	a.core.Open(s, k)
 }
 
+// hold keeps the caller's connection from being closed to make room while it is owed an answer.
+func (k *uasCall) hold() {
+	if t, ok := k.flow.(*tcpFlow); ok {
+		k.held = t.conn
+		k.held.Hold()
+	}
+}
+
+// settled takes a set-up that has its final answer off the list.
+func (k *uasCall) settled() {
+	delete(k.agent.calls, k.tx)
+	if k.held != nil {
+		k.held.Unhold()
+		k.held = nil
+	}
+}
+
 func sameRequest(a, b *Message) bool {
 	return a.Get("Call-ID") == b.Get("Call-ID") && a.Get("CSeq") == b.Get("CSeq") && tag(a.Get("From")) == tag(b.Get("From"))
 }
 
-// read takes class, deadline and first choice from the headers. The deadline is the class's, or Expires if shorter.
+// read takes class, deadline and first choice from the headers. The deadline is the class's, or Expires if shorter. A
+// class that the settings don't name is a fault of the caller: servers would not know it either.
 func (a *Agent) read(m *Message, s *routing.Setup) (bad bool) {
 	name := m.Get("X-Cos")
 	if name == "" {
 		name = a.DefaultClass
 	}
-	s.Class = -1
-	left := time.Hour
-	for i, c := range a.Classes {
-		if c == name {
-			s.Class = i
-			left = time.Duration(a.Deadlines[i]) * time.Microsecond
-		}
+	if s.Class = slices.Index(a.Classes, name); s.Class < 0 {
+		return true
 	}
+	left := time.Duration(a.Deadlines[s.Class]) * time.Microsecond
 	if v := m.Get("Expires"); v != "" {
 		n, err := strconv.ParseUint(v, 10, 32)
 		if err != nil {
@@ -126,7 +147,7 @@
 	if k == nil {
 		return
 	}
-	a.core.Withdraw(k.id, func(inTime bool) {
+	a.core.Withdraw(k.id, k, func(inTime bool) {
 		if inTime {
 			k.final(487, "Request Terminated", nil)
 		}
@@ -136,7 +157,7 @@
 // final answers an INVITE with an error.
 func (k *uasCall) final(status int, reason string, set func(*Message)) {
 	k.agent.Post(func() {
-		delete(k.agent.calls, k.tx)
+		k.settled()
 		r := k.response(status, reason)
 		if set != nil {
 			set(r)
@@ -153,7 +174,7 @@
 
 func (k *uasCall) answer(body []byte) {
 	a := k.agent
-	delete(a.calls, k.tx)
+	k.settled()
 	k.dialog = fromRequest(k.req, k.id, k.tag, k.flow.proto())
 	k.dialog.flow, k.dialog.call = k.flow, k
 	r := k.response(200, "OK").Set("Contact", a.contact(k.flow.proto())).Set("Allow", allow)
@@ -166,7 +187,7 @@
 		r.Body = body
 	}
 	if !k.tx.respond(r) { // the set-up has its final answer: nobody would ever release the call
-		a.core.Hangup(k.id, routing.CauseNormal, nil)
+		a.core.Hangup(k.id, routing.CauseNormal, k, nil)
 		return
 	}
 	a.addDialog(k.dialog)
@@ -176,7 +197,7 @@
 		if !k.heard && !k.over {
 			a.Log.WithField("call", k.id).Warn("SIP: no ACK to the answer, call released")
 			k.heard = true
-			a.core.Hangup(k.id, routing.CauseNormal, nil)
+			a.core.Hangup(k.id, routing.CauseNormal, k, nil)
 			k.bye(routing.CauseNormal)
 		}
 	})
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,23 @@
 	Body        []byte        // description, passed on unchanged
 }
 
+// ValidKey tells whether a number called can stand in a request line. Servers close on what they can't read, and take
+// along what else is open on that connection.
+func ValidKey(key string) bool {
+	for i := range len(key) {
+		c := key[i]
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && strings.IndexByte("-_.!~*'()&=+$,;?/%", c) < 0 {
+			return false
+		}
+	}
+	return len(key) <= maxKey
+}
+
+// MaxBody is the longest description: with its headers it must fit into a message of 16 KiB.
+const MaxBody = 15 << 10
+
+const maxKey = 128
+
 // Caller is the front's end of one call. Its methods are called by the core's actor and must not block. Answer,
 // Refuse and Fail are the final answer: one of them is called once, unless the call is withdrawn first.
 type Caller interface {
@@ -76,6 +94,7 @@
 	calls   map[string]*call
 	pending int // calls that are owed an answer
 	over    map[string]control.Micros
+	guard   control.Micros
 	swept   control.Micros
 	actions []control.Action
 	busy    bool
@@ -85,7 +104,7 @@
 // NewCore starts the module.
 func NewCore(set control.Settings, seed uint64, log logrus.FieldLogger) *Core {
 	c := &Core{Actor: actor.New(), module: control.New(set, seed), log: log, peers: map[uint32]*Peer{},
-		calls: map[string]*call{}, over: map[string]control.Micros{}}
+		calls: map[string]*call{}, over: map[string]control.Micros{}, guard: set.ReleaseGuard}
 	c.Post(func() { c.handle(control.Start{}) })
 	return c
 }
@@ -100,9 +119,11 @@
 }
 
 func (c *Core) open(s Setup, caller Caller, dropDead control.Micros) {
-	if c.calls[s.ID] != nil {
-		// The id is in use: a second attempt or a second answer would break the rules of the first call.
-		c.log.WithField("call", s.ID).Warn("set-up with the id of an open call dropped")
+	if at, ok := c.over[s.ID]; c.calls[s.ID] != nil || ok && Now()-at < c.guard {
+		// The id is in use: the first call goes on by its own rules, and who asked second is told that this failed. An id
+		// used again at once would be sent again within the release guard.
+		c.log.WithField("call", s.ID).Debug("set-up with the id of another call")
+		caller.Fail()
 		return
 	}
 	k := &call{Setup: s, caller: caller, dropDead: dropDead}
@@ -126,12 +147,12 @@
 	k.caller.Fail()
 }
 
-// Withdraw says that the caller of a set-up waits no longer. A call that stands is left alone. done, if not nil, hears
-// whether that came before the final answer.
-func (c *Core) Withdraw(id string, done func(inTime bool)) {
+// Withdraw says that the caller of a set-up waits no longer. A call that stands is left alone, and so is another
+// caller's of the same id. done, if not nil, hears whether that came before the final answer.
+func (c *Core) Withdraw(id string, caller Caller, done func(inTime bool)) {
 	c.Post(func() {
 		k := c.calls[id]
-		inTime := k != nil && !k.stands
+		inTime := k != nil && !k.stands && k.caller == caller
 		if inTime {
 			c.withdraw(k)
 		}
@@ -147,13 +168,17 @@
 	c.close(k)
 }
 
-// Hangup ends a call from the caller's side, whatever its state. done hears whether it was known.
-func (c *Core) Hangup(id string, cause int, done func(known bool)) {
+// Hangup ends a call from the caller's side. Anyone may end a call that stands; a set-up is given up by its own caller
+// alone, who may be nil where none is known. done hears whether the call was known.
+func (c *Core) Hangup(id string, cause int, caller Caller, done func(known bool)) {
+	if cause < 1 || cause > 127 { // Q.850 has no others, and a server need not read them
+		cause = CauseNormal
+	}
 	c.Post(func() {
 		k := c.calls[id]
 		if k != nil && k.stands {
 			c.release(k, cause)
-		} else if k != nil {
+		} else if k != nil && k.caller == caller {
 			c.withdraw(k)
 		}
 		if done != nil {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -389,6 +389,27 @@
 	})
 }
 
+// Guards against a second caller under an open id ending the first's call, by its own end, by a withdrawal or by hanging
+// up, and against an id that comes again within the release guard.
+func TestSecondCallerUnderAnID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("a")
+		defer b.end()
+		first, second := b.call("1", time.Second), b.call("1", time.Second)
+		b.core.Withdraw("1", second, nil)
+		b.core.Hangup("1", CauseNormal, second, nil)
+		synctest.Wait()
+		if first.finals != 0 || second.finals != 1 || second.stood || len(b.wires["a"].out) != 1 {
+			t.Fatalf("answers %d and %d, %d set-ups out; want 0, 1, 1", first.finals, second.finals, len(b.wires["a"].out))
+		}
+		b.core.Withdraw("1", first, nil)
+		third := b.call("1", time.Second)
+		if third.finals != 1 || len(b.wires["a"].out) != 0 {
+			t.Errorf("an id that comes again at once: %d answers, %d set-ups out; want 1, 0", third.finals, len(b.wires["a"].out))
+		}
+	})
+}
+
 // lineWire is a stand-in for a server with several lines, each with set-ups of its own.
 type lineWire struct {
 	lines []*wire
@@ -590,12 +611,12 @@
 				case 7:
 					if id := pick("", w); id != "" {
 						calls[id].gone = true
-						b.core.Withdraw(id, nil)
+						b.core.Withdraw(id, calls[id].caller, nil)
 					}
 				case 8:
 					if id := pick("", w); id != "" {
 						calls[id].gone, calls[id].over = true, true
-						b.core.Hangup(id, CauseNormal, nil)
+						b.core.Hangup(id, CauseNormal, calls[id].caller, nil)
 					}
 				case 9:
 					if w.events != nil {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -7,12 +7,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Limits of one connection.
 const (
-	MaxQueued    = 1 << 20                 // bytes that wait to be written; beyond it the connection is given up
+	MaxQueued    = 256 << 10               // bytes that wait to be written; beyond it the connection is given up
 	writeTimeout = 1500 * time.Millisecond // one write may take so long: guards against a peer that went silent
 	lingerFor    = 200 * time.Millisecond  // the other side has so long to close too
 )
@@ -54,11 +55,62 @@
 	wake   chan struct{}
 	gone   chan struct{}
 	onGone func()
+	held   atomic.Int32 // set-ups open on it
+	calls  atomic.Int32 // calls that stand and came on it
+	used   atomic.Int64 // when it was last used, in Unix nanoseconds
+	spoke  atomic.Bool  // a whole message has come on it
+}
+
+// Spoke notes that a whole message has come.
+func (c *Conn) Spoke() {
+	c.spoke.Store(true)
+	c.used.Store(time.Now().UnixNano())
+}
+
+// Hold notes that something is owed on the connection: it is not closed to make room. Each Hold is ended by one Unhold.
+func (c *Conn) Hold() { c.held.Add(1) }
+
+// Unhold ends a Hold.
+func (c *Conn) Unhold() {
+	c.used.Store(time.Now().UnixNano())
+	c.held.Add(-1)
+}
+
+// Held tells whether something is owed on the connection.
+func (c *Conn) Held() bool { return c.held.Load() > 0 }
+
+// Call notes a call that came on the connection and stands (1), or its end (-1). Nothing is owed on the connection then,
+// but its end is best told there.
+func (c *Conn) Call(change int32) {
+	c.used.Store(time.Now().UnixNano())
+	c.calls.Add(change)
+}
+
+// InUse tells whether anything is owed on the connection or stands.
+func (c *Conn) InUse() bool { return c.Held() || c.calls.Load() > 0 }
+
+// less tells whether a connection would be missed less than another.
+func (c *Conn) less(o *Conn) bool {
+	if a, b := c.rank(), o.rank(); a != b {
+		return a < b
+	}
+	return c.used.Load() < o.used.Load()
+}
+
+func (c *Conn) rank() int {
+	switch {
+	case !c.spoke.Load():
+		return 0
+	case c.calls.Load() <= 0:
+		return 1
+	}
+	return 2
 }
 
 // NewConn starts the writer of a connection. onGone, if not nil, is called once after the connection is closed.
 func NewConn(nc net.Conn, onGone func()) *Conn {
 	c := &Conn{Conn: nc, wake: make(chan struct{}, 1), gone: make(chan struct{}), onGone: onGone}
+	c.used.Store(time.Now().UnixNano())
 	go c.write()
 	return c
 }
@@ -180,5 +232,11 @@
 	c.poke()
 }
 
+func (c *Conn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err != nil
+}
+
 // Gone is closed when the connection is.
 func (c *Conn) Gone() <-chan struct{} { return c.gone }
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -174,7 +174,7 @@
 		t.Fatal(err)
 	}
 	held := make(chan *Conn, 4)
-	go l.Serve(func(c *Conn) { held <- c; <-c.Gone() })
+	go l.Serve(func(c *Conn) { c.Hold(); held <- c; <-c.Gone() })
 	defer l.Close()
 	var conns []net.Conn
 	for range 3 {
@@ -202,3 +202,47 @@
 		t.Errorf("%d descriptors in use", n)
 	}
 }
+
+// Guards against callers that say nothing, or are done and stay, keeping others out: they make room, first who never
+// spoke, then who has no call, the longest idle first. A connection on which something is owed is never closed.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	b := NewBudget(6, 1)
+	l, err := Listen("127.0.0.1:0", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := make(chan *Conn, 9)
+	go l.Serve(func(c *Conn) { taken <- c; <-c.Gone() })
+	defer l.Close()
+	connect := func() *Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return <-taken
+	}
+	owed, calling, idle, recent, silent := connect(), connect(), connect(), connect(), connect()
+	for i, c := range []*Conn{owed, calling, idle, recent} {
+		c.Spoke()
+		c.used.Store(int64(i + 1))
+	}
+	owed.Hold()
+	calling.Call(1)
+	calling.used.Store(2)
+	for i, want := range []*Conn{silent, idle, recent, calling} {
+		c := connect()
+		c.Spoke()
+		c.Hold()
+		select {
+		case <-want.Gone():
+		case <-time.After(10 * time.Second):
+			t.Fatalf("step %d closed another", i)
+		}
+	}
+	select {
+	case <-owed.Gone():
+		t.Error("closed a connection on which an answer is owed")
+	default:
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -67,7 +67,8 @@
 	return &Listener{Listener: l, budget: budget, conns: map[*Conn]struct{}{}}, nil
 }
 
-// Serve accepts until the listener is closed. Over the budget a new connection is closed at once; the others live.
+// Serve accepts until the listener is closed. When the budget is used up, a connection on which nothing is owed makes
+// room for a new one; where there is none, the new one is closed.
 func (l *Listener) Serve(handle func(*Conn)) {
 	for {
 		nc, err := l.Accept()
@@ -78,7 +79,7 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		if !l.budget.take(l.budget.max - l.budget.reserve) {
+		if !l.budget.take(l.budget.max-l.budget.reserve) && !(l.makeRoom() && l.budget.take(l.budget.max-l.budget.reserve)) {
 			nc.Close()
 			continue
 		}
@@ -99,6 +100,27 @@
 	}
 }
 
+// makeRoom closes the connection that is missed least: the oldest of those that never sent a whole message, else the one
+// that has been idle longest, best one without a call that stands. Callers that say nothing, or have had their answer and stay, must not keep others out.
+func (l *Listener) makeRoom() bool {
+	var least *Conn
+	l.mu.Lock()
+	for c := range l.conns {
+		if c.Held() || c.ended() {
+			continue
+		}
+		if least == nil || c.less(least) {
+			least = c
+		}
+	}
+	l.mu.Unlock()
+	if least == nil {
+		return false
+	}
+	least.Close()
+	return true
+}
+
 // Finish closes every connection that is open once its queue is written, and waits for that, but not longer than a time.
 func (l *Listener) Finish(limit time.Duration) {
 	l.mu.Lock()
