--- a/control/control.go
+++ b/control/control.go
@@ -335,9 +335,9 @@
 		c.note(s, "gated at level %d: wait %.0f ms", s.level, s.wait/1000)
 	}
 	if was >= gateLevel && s.level < gateLevel {
-		// Exception, re-entry: all fronts leave the gate at about the same time, so each starts with a part of
-		// its calls: one set-up each would be a full load where there are hundreds of fronts. Where there are
-		// few, more kept back only prolongs a short gate, as one noisy report makes it.
+		// Exception, re-entry: all fronts leave the gate at about the same time, so each starts with a part
+		// of its calls: one set-up each would be a full load where there are hundreds of fronts. Where there
+		// are few, more kept back only prolongs a short gate, as one noisy report makes it.
 		fronts := float64(max(1, c.set.Fronts))
 		s.thin = max(s.thin, fronts/(fronts+reenterAll))
 		s.fadedAt = c.now
