A late answer no longer ends the call that stands at the same server by another attempt

A trace of one call: two attempts were called off after 160 and 200 ms, the third stood on another line to the same server at 21.79 s; at 22.14 s the answers to the first two came, and each was met by a BYE. Servers know a call by its Call-ID alone, so the BYE ended the call that stood, and its caller was never told.

Ruled out: mute lines (none ended near those times), callers' connections that close, waiting releases.

Faulty lines: Core.answered released whatever was not the attempt that is out or stands. Now it is left while another attempt of the call is out or stands there, and released if that one fails. On SIP lines the late dialog took the standing one's place in Agent.byID; it is now confirmed and ended by the line itself.

The test fails without either half.

--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -180,6 +180,11 @@
 	}
 	u.dialog = d
 	u.forget()
+	if u.cancelled { // given up: its dialog is ended here, since the core knows the call by its id alone
+		a.ack(d)
+		a.inDialog(d, "BYE", routing.CauseNormal, nil)
+		return
+	}
 	a.addDialog(d)
 	a.ack(d)
 	if row := parseReport(m.Get("X-Occupancy"), a.Reports); row != nil {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -76,6 +76,7 @@
 	stands   bool
 	stoodAt  control.Micros
 	overdue  *time.Timer
+	stray    bool // a given-up attempt was answered late by the server where another is out
 }
 
 const (
@@ -248,6 +249,7 @@
 	k.out = nil
 	a.expiry.Stop()
 	a.peer.cancel(ref{k.ID, a.number})
+	k.sweep(a.peer)
 	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: code,
 		Took: Now() - a.sentAt, Settled: settled})
 }
@@ -348,9 +350,7 @@
 func (c *Core) answered(p *Peer, r ref, body []byte) {
 	k := c.attemptOf(r)
 	if k == nil {
-		if k := c.calls[r.id]; k == nil || !k.stands || k.out.number != r.attempt {
-			p.release(r.id, CauseNormal) // too late: the set-up had been given up
-		}
+		c.late(p, r)
 		return
 	}
 	a := k.out
@@ -366,6 +366,26 @@
 	c.settled()
 }
 
+// late: an answer to a set-up that had been given up. The server is told that nobody wants it, but not while another
+// attempt of the call is out or stands there: servers know a call by its id alone, and the release would end that one.
+func (c *Core) late(p *Peer, r ref) {
+	k := c.calls[r.id]
+	switch {
+	case k == nil || k.out == nil || k.out.peer != p:
+		p.release(r.id, CauseNormal)
+	case k.out.number != r.attempt:
+		k.stray = true
+	}
+}
+
+// sweep releases at a server what was answered late there, now that no attempt of the call is out at it.
+func (k *call) sweep(p *Peer) {
+	if k.stray {
+		k.stray = false
+		p.release(k.ID, CauseNormal)
+	}
+}
+
 // Outcome is the end of an attempt as the wire saw it.
 type Outcome struct {
 	Code     control.Code
@@ -383,6 +403,7 @@
 	a := k.out
 	k.out = nil
 	a.expiry.Stop()
+	k.sweep(a.peer)
 	c.handle(control.Resolved{ID: k.ID, Attempt: a.number, Server: a.server, Code: o.Code,
 		Took: Now() - a.sentAt, Reason: o.Reason, ToldWait: o.ToldWait, Report: o.Report})
 }
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -43,7 +43,7 @@
 type Line interface {
 	// Setup sends a set-up. still is asked when its first byte is about to go out.
 	Setup(a Attempt, still func() bool)
-	Cancel(id string)             // give up a set-up; a late answer is still told
+	Cancel(id string)             // give up a set-up; a late answer is told, or released by the line itself
 	Release(id string, cause int) // end a call that stands
 	Close()
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -516,6 +516,49 @@
 	})
 }
 
+// Guards against the late answer of a given-up attempt ending the call that now stands at the same server by another one:
+// servers know a call by its id alone. Where the other attempt fails, what was answered late is released.
+func TestLateAnswerDoesNotEndTheCallThatStands(t *testing.T) {
+	for _, stands := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b, w := newLineBench()
+			defer b.end()
+			c := b.call("1", 2*time.Second)
+			first := w.lines[0].out["1"]
+			b.core.Post(func() { b.core.endAttempt(b.core.calls["1"], control.Cancelled, false) })
+			synctest.Wait()
+			b.core.Post(func() {
+				b.core.calls["1"].attempts = 1
+				b.core.send(b.core.calls["1"], control.Action{ID: "1", Server: b.list.hosts["a"].id})
+			})
+			synctest.Wait()
+			if len(w.lines) != 2 || len(w.lines[1].out) != 1 {
+				t.Fatalf("%d lines", len(w.lines))
+			}
+			byes := func() int { return w.lines[0].byes["1"] + w.lines[1].byes["1"] }
+			if stands {
+				w.lines[1].answer("1", "")
+				synctest.Wait()
+			}
+			w.lines[0].events.Answered(first, nil)
+			synctest.Wait()
+			if byes() != 0 {
+				t.Fatal("the other attempt was released too")
+			}
+			if stands && (!c.stood || c.releases != 0) {
+				t.Errorf("stood %v, %d releases", c.stood, c.releases)
+			}
+			if !stands {
+				w.lines[1].events.Failed(w.lines[1].out["1"], Outcome{Code: control.Failed})
+				synctest.Wait()
+				if byes() != 1 {
+					t.Errorf("%d releases of what was answered late, want 1", byes())
+				}
+			}
+		})
+	}
+}
+
 // A server that takes connections and closes them at once is not dialled again without a pause.
 func TestLineThatBroughtNothingIsNotOpenedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
