Give a gatekeeper that has just started room for four set-ups at each server

Looked into: a trace of refusals by reason. In the first second after each start nearly all were 'room' (one set-up out at a server, since the own rate is not known) and 'share' (a second choice's lot from a rate that has only begun to grow).

Faulty lines: Controller.roomOf took roomFloor = 1 from the first moment, Controller.open drew shares as soon as unit was over 0. Now both wait for startSpan, from which the rates are believed; cold servers keep their share from the first. TestLostSetupIsNoWait leaves its second server out, on whose random lot it hung.

--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 	lossDoubt    = 0.03   // chance of losing so many set-ups together that is taken to be nil
 	witnessMax   = 4      // most set-ups without an answer that are asked for
 	roomFloor    = 1      // set-ups out that a front may have at any open server, whatever its rate
+	startRoom    = 4      // and in the time after its start before its rates are believed
 	roomShare    = 0.9    // wait at which the room is reached, in level 2 onsets
 	rateSpan     = 8e6    // us; memory of the own rate to a server
 	startSpan    = 2e6    // us; time after a front's start before its rates are believed
@@ -527,10 +528,17 @@
 // roomOf bounds the set-ups out to a server (Exception: a free sender overruns it before an answer tells
 // so) to what this front's own rate of answers brings in the time of a set-up at the gate's wait.
 func (c *Controller) roomOf(s *server) int {
-	room := max(roomFloor, int(math.Ceil(c.warmRate(s)*(passes*roomShare*c.gate+float64(c.gap))/1e6)))
+	floor := roomFloor
+	if c.young() {
+		floor = startRoom
+	}
+	room := max(floor, int(math.Ceil(c.warmRate(s)*(passes*roomShare*c.gate+float64(c.gap))/1e6)))
 	return room + c.witnesses() - 1 // lost set-ups take room until they are known to be lost
 }
 
+// young tells that this front has just started: its rates are not believed yet, and the others are at theirs.
+func (c *Controller) young() bool { return c.now-c.born < startSpan }
+
 // warmRate is what this front would have answered by a server if warm: its best from all warm ones, by size.
 func (c *Controller) warmRate(s *server) float64 { return c.unit * max(1, s.total) }
 
@@ -921,7 +929,7 @@
 		return false
 	case c.ahead(s) >= c.roomOf(s):
 		return false
-	case (c.cold(s) || s.cell != k.FirstChoice && c.unit > 0) && !c.mayTake(s):
+	case (c.cold(s) || s.cell != k.FirstChoice && c.unit > 0 && !c.young()) && !c.mayTake(s):
 		return false
 	}
 	return rank >= s.thin
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -85,6 +85,7 @@
 		f.answer(id, s, 5e4)
 	}
 	f.acts = nil
+	f.c.born -= 2 * startSpan // it has been up for a while
 	return f
 }
 
@@ -171,6 +172,7 @@
 // Lost set-ups must not gate a server: a later one that was answered proves them lost (incident i03d8bc).
 func TestLostSetupIsNoWait(t *testing.T) {
 	f := warmFront(t)
+	f.do(List{Delta: true, Entries: []Entry{{Server: 20, Cell: two[1].Cell, State: Draining}}}) // the other may not help out
 	lost, s := f.call(0, 0)
 	f.pass(2e5)
 	id, s2 := f.call(0, 0)
@@ -501,6 +503,32 @@
 	}
 }
 
+// Guards against a gatekeeper that refuses calls just after its start, when its own rates say nothing yet: a few set-ups
+// may be out at each server, of the second choice too. Later the room is what its rates bring.
+func TestYoungFrontHasRoom(t *testing.T) {
+	f := &front{t: t, c: New(testSettings(), 1), now: 1e9}
+	f.do(Start{})
+	f.servers(two...)
+	f.c.unit = 0.01 // from a first answer
+	sent := 0
+	for range 12 {
+		if _, s := f.call(0, 0); s != 0 {
+			sent++
+		}
+	}
+	if sent < 6 || sent > 10 {
+		t.Errorf("%d set-ups sent at once by a front that has just started, want a few at each server", sent)
+	}
+	g := &front{t: t, c: New(testSettings(), 1), now: 1e9}
+	g.do(Start{})
+	g.servers(two...)
+	g.pass(2 * startSpan)
+	g.do(Timer{"tick"})
+	if n := g.c.roomOf(g.c.find(10)); n != roomFloor {
+		t.Errorf("room for %d at a server of which nothing is known, want %d", n, roomFloor)
+	}
+}
+
 // A set-up lost by chance may go to the same server again: with one server it was called off only to be refused.
 func TestLostSetupMayGoToTheSameServer(t *testing.T) {
 	f := newFront(t, testSettings())
