Make the test of SIP servers at the start certain; say what remains

It now tells the order from which of two faults ends the start: an address in use (the sockets are opened) or a missing inventory (servers are loaded). With the sockets opened last it fails on that order, whatever the timing.

--- a/cmd/beammux/loopback_test.go
+++ b/cmd/beammux/loopback_test.go
@@ -35,7 +35,8 @@
 	return testNodeLogging(t, deploy, log)
 }
 
-func testNodeLogging(t *testing.T, deploy *config.Deploy, log *logrus.Logger) *node {
+// testConfig writes a configuration and gives its file.
+func testConfig(t *testing.T) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
@@ -43,7 +44,12 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := config.Load(file)
+	return file
+}
+
+func testNodeLogging(t *testing.T, deploy *config.Deploy, log *logrus.Logger) *node {
+	t.Helper()
+	cfg, err := config.Load(testConfig(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/beammux/node_test.go
+++ b/cmd/beammux/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -264,18 +265,24 @@
 	}
 }
 
-// Guards against SIP servers being dialled before the socket that they are reached by is open: the first call stands.
+// Guards against SIP servers being dialled before the socket that they are reached by is open: whether that is seen hangs
+// on the moment, so the order is told by which of two faults ends the start. A missing inventory is found when servers
+// are loaded, an address in use when the sockets are opened.
 func TestSIPServersOfTheInventoryAreReadyAtTheStart(t *testing.T) {
 	server := siptest.New(t, slowly(0))
 	inv := filepath.Join(t.TempDir(), "servers.csv")
-	text := "name,address,transport\n"
-	for i := range 50 { // in one or two, a dial may come late enough by chance
-		text += fmt.Sprintf("s-%08x,%s,udp\n", i, server.Addr("UDP"))
+	log, lines := logtest.NewNullLogger()
+	cfg, err := config.Load(testConfig(t))
+	if err != nil {
+		t.Fatal(err)
 	}
+	if _, err = start(cfg, &config.Deploy{SIPUDP: server.Addr("UDP"), Inventory: inv}, log); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("start ended with %v, want the address in use before the inventory is read", err)
+	}
+	text := fmt.Sprintf("name,address,transport\ns-00000001,%s,udp\n", server.Addr("UDP"))
 	if err := os.WriteFile(inv, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	log, lines := logtest.NewNullLogger()
 	n := testNodeLogging(t, &config.Deploy{SIPUDP: "127.0.0.1:0", Inventory: inv}, log)
 	answers := make(chan map[string]any, 1)
 	c := dialJSON(t, n, func(m map[string]any) { answers <- m })
