Queue a caller's answer before its connection counts as having nothing owed

Seen: TestOpenCallsAreAnsweredBeforeABadMessageCloses failed once in three runs with the race detector: the connection ended with no answer. Faulty lines: caller.Answer, Refuse and Fail took the set-up off its connection before they queued the answer, so the connection could be closed between the two.

--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -289,8 +289,8 @@
 	if first := c.caller(m.ID); first != nil {
 		f.core.Withdraw(m.ID, first, func(inTime bool) {
 			if inTime {
-				c.done(first)
 				invalid()
+				c.done(first)
 			}
 		})
 		return
@@ -359,12 +359,12 @@
 
 func (k *caller) Answer(body []byte) bool {
 	k.front.stand(k)
-	k.conn.done(k)
+	defer k.conn.done(k) // not before the answer is queued: a connection with nothing owed may be closed
 	return k.conn.send(Message{Type: "ready", ID: k.id, Text: string(body)})
 }
 
 func (k *caller) Refuse(wait time.Duration) {
-	k.conn.done(k)
+	defer k.conn.done(k)
 	m := Message{Type: "close", ID: k.id, Code: routing.CauseCongest}
 	if ms := wait.Milliseconds(); ms > 0 {
 		m.Attrs = map[string]string{"wait": strconv.FormatInt(ms, 10)}
@@ -373,7 +373,7 @@
 }
 
 func (k *caller) Fail() {
-	k.conn.done(k)
+	defer k.conn.done(k)
 	k.conn.send(Message{Type: "close", ID: k.id, Code: routing.CauseFailed})
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -232,10 +232,11 @@
 	c.poke()
 }
 
-func (c *Conn) ended() bool {
+// unfit tells whether the connection is closed, or has something queued that a close would drop.
+func (c *Conn) unfit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.err != nil
+	return c.err != nil || len(c.queue) > 0
 }
 
 // Gone is closed when the connection is.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -106,7 +106,7 @@
 	var least *Conn
 	l.mu.Lock()
 	for c := range l.conns {
-		if c.Held() || c.ended() {
+		if c.Held() || c.unfit() {
 			continue
 		}
 		if least == nil || c.less(least) {
