Operators' HTTP address: ready, evacuate, rejoin and figures; drain closes idle connections

Design: admin_addr in the configuration, $PROXY_ADMIN_ADDR (--admin-addr) wins; a bad value is one line naming the key and value, exit 1. internal/ops is net/http with every timeout set, keep-alives off (one call a connection), at most 64 connections, ServeMux patterns give 404 and 405. The drain state is a pure module, control/drain: ready or evacuated since a time; a caller's connection closes once nothing is owed on it (no set-up waiting, no call that came on it standing) and it has been quiet 300 ms. Rejected: refusing set-ups once evacuated - it turns away clients that could be served, and the front stops sending by itself.

--- a/cmd/beammux/serve.go
+++ b/cmd/beammux/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 type serveCmd struct {
 	Config string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:""`
 	Listen string `help:"Address for callers, in place of the configuration's." env:"PROXY_LISTEN"`
+	Admin  string `name:"admin-addr" help:"Operators' HTTP address, HOST:PORT, in place of the configuration's admin_addr." env:"PROXY_ADMIN_ADDR"`
 	Deploy string `help:"The project's own file: SIP front, store, inventory." default:"deploy/beammux.json" env:"BEAMMUX_DEPLOY"`
 }
 
@@ -38,6 +40,12 @@
 	if s.Listen != "" {
 		cfg.Listen = s.Listen
 	}
+	if s.Admin != "" {
+		if err := config.CheckAdmin(s.Admin); err != nil {
+			return fmt.Errorf("$PROXY_ADMIN_ADDR (--admin-addr): %v", err)
+		}
+		cfg.Admin = s.Admin
+	}
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
--- a/control/view.go
+++ b/control/view.go
@@ -15,3 +15,6 @@
 	}
 	return views
 }
+
+// Gated tells whether the server takes no new set-ups at its level: the gatekeeper avoids it.
+func (v View) Gated() bool { return v.Level >= gateLevel }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,12 +9,14 @@
 	"github.com/valyala/fastjson"
 
 	"beammux/control"
+	"beammux/internal/ops"
 	"beammux/internal/protocol/bus"
 )
 
 // Config is what the platform tells a gatekeeper.
 type Config struct {
 	Name, Listen string
+	Admin        string // the operators' address, HOST:PORT; empty: off
 	Seed         uint64
 	Cores        float64
 	MemoryMB     int
@@ -60,6 +62,11 @@
 	c := &Config{Name: string(v.GetStringBytes("name")), Listen: string(v.GetStringBytes("listen")),
 		Bus: string(v.GetStringBytes("bus")), Cores: v.GetFloat64("limits", "cores"),
 		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets")}
+	if c.Admin = string(v.GetStringBytes("admin_addr")); c.Admin != "" {
+		if err := CheckAdmin(c.Admin); err != nil {
+			return nil, &Error{"", "admin_addr", err.Error()}
+		}
+	}
 	if c.Listen == "" {
 		return nil, &Error{"", "listen", "missing"}
 	}
@@ -88,3 +95,11 @@
 	}
 	return c, nil
 }
+
+// CheckAdmin says what is wrong with an operators' address, if anything.
+func CheckAdmin(addr string) error {
+	if _, _, err := ops.Split(addr); err != nil {
+		return fmt.Errorf("%q is not HOST:PORT: %v", addr, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/figures.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"beammux/internal/routing"
+)
+
+// figures lays the core's counts out in the Prometheus text exposition. The library writes the form; the counts are the
+// core's own, read when asked, so a figure is never older than the call that reads it. VictoriaMetrics/metrics is
+// used for the writing: small, with no protobuf and no registry of its own beyond a set per gatekeeper, which keeps
+// gatekeepers in one test process apart. Rejected: prometheus/client_golang, whose registry and dependencies cost
+// several MB of a 64 MB limit for seven figures.
+type figures struct{ set *metrics.Set }
+
+func newFigures(f *routing.Figures, classes []string) *figures {
+	set := metrics.NewSet()
+	names := append(append([]string(nil), classes...), "unknown")
+	for i, name := range names {
+		c := f.Class(i)
+		if i == len(names)-1 {
+			c = f.Class(-1)
+		}
+		for _, m := range []struct {
+			name  string
+			count interface{ Load() int64 }
+		}{{"success_total", &c.Success}, {"overload_total", &c.Overload}, {"error_total", &c.Error},
+			{"dispatches_total", &c.Dispatches}} {
+			set.NewGauge(fmt.Sprintf("proxy_%s{type=%q}", m.name, name), func() float64 { return float64(m.count.Load()) })
+		}
+	}
+	set.NewGauge("proxy_concurrent", func() float64 { return float64(max(0, f.Pending.Load())) })
+	set.NewGauge("proxy_targets", func() float64 { return float64(f.Targets.Load()) })
+	set.NewGauge("proxy_targets_disabled", func() float64 { return float64(f.Disabled.Load()) })
+	return &figures{set: set}
+}
+
+func (f *figures) write(w io.Writer) { f.set.WritePrometheus(w) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 	records  *record.Recorder // nil: off
 	hub      *admin.Hub       // nil: nobody records or watches
 	calls    atomic.Value     // version of the limits in force, a string
+	ops      operators
+	figures  *figures
 	stop     context.CancelFunc
 }
 
@@ -105,7 +107,7 @@
 // Start brings a gatekeeper up. It takes callers once it returns: known servers are loaded by then.
 func Start(cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (_ *Node, err error) {
 	ctx, stop := context.WithCancel(context.Background())
-	n := &Node{cfg: cfg, deploy: deploy, log: log, stop: stop}
+	n := &Node{cfg: cfg, deploy: deploy, log: log, stop: stop, ops: operators{started: time.Now()}}
 	defer func() {
 		if err != nil {
 			stop()
@@ -132,6 +134,7 @@
 		return nil, err
 	}
 	n.core = routing.NewCore(cfg.Site.Settings, cfg.Seed, recorder, log)
+	n.figures = newFigures(n.core.Figures(), cfg.Site.ClassNames)
 	n.startRecords(ctx)
 	n.core.SetLimits(deploy.Calls)
 	n.calls.Store(deploy.Calls.Version())
@@ -183,7 +186,15 @@
 	}
 	go n.bus.Run(ctx)
 	go n.remember(ctx)
+	go n.sweep(ctx)
 	go n.listener.Serve(n.front.Serve)
+	if err = n.openOperators(); err != nil {
+		n.listener.Close()
+		if n.agent != nil {
+			n.agent.Close()
+		}
+		return nil, err
+	}
 	log.WithFields(logrus.Fields{"listen": n.Addr(), "calls": deploy.Calls.Version()}).Info("serving")
 	return n, nil
 }
@@ -205,6 +216,9 @@
 
 // Close ends the gatekeeper at once, without answering what is open. Drain is the way to end one that serves.
 func (n *Node) Close() {
+	if n.ops.server != nil {
+		n.ops.server.Close()
+	}
 	n.listener.Close()
 	if n.agent != nil {
 		n.agent.Close()
@@ -325,7 +339,7 @@
 func (n *Node) Drain() {
 	n.log.Info("draining: answering what was taken")
 	n.core.Note(history.Event{Kind: history.Draining})
-	n.front.Drain()
+	n.Evacuate()
 	if n.agent != nil {
 		n.agent.Drain()
 	}
@@ -345,6 +359,9 @@
 		n.agent.Close()
 	}
 	n.stop()
+	if n.ops.server != nil {
+		n.ops.server.Close()
+	}
 	n.store.Close()
 	n.core.Note(history.Event{Kind: history.Finished})
 	n.closeRecords()
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -71,6 +71,22 @@
 // Drain fails the tests that are asked for from now on, so that no new callers are led here.
 func (f *Front) Drain() { f.draining.Store(true) }
 
+// Rejoin passes the tests again.
+func (f *Front) Rejoin() { f.draining.Store(false) }
+
+// Sweep finishes the connections for which close says so; it hears when each was last used and whether anything is
+// owed on it: an answer to a set-up, or the release of a call that came on it and stands.
+func (f *Front) Sweep(close func(used time.Time, owed bool) bool) {
+	f.mu.Lock()
+	conns := slices.Clone(f.conns)
+	f.mu.Unlock()
+	for _, c := range conns {
+		if close(c.Used(), c.InUse()) {
+			c.Finish()
+		}
+	}
+}
+
 // conn is one connection of callers and the set-ups that came on it and are not answered.
 type conn struct {
 	*transport.Conn
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -112,13 +112,18 @@
 	viewed   map[uint32]viewed
 	viewedAt control.Micros
 	reported map[uint32][]float64
+
+	figures   *Figures
+	counted   []control.View
+	countedAt control.Micros
 }
 
 // NewCore starts the module. records may be nil: then nothing is recorded.
 func NewCore(set control.Settings, seed uint64, records Recorder, log logrus.FieldLogger) *Core {
 	c := &Core{Actor: actor.New(), clock: newClock(), module: control.New(set, seed), log: log, peers: map[uint32]*Peer{},
 		calls: map[string]*call{}, over: map[string]control.Micros{}, guard: set.ReleaseGuard,
-		recorder: records, classes: set.Classes, viewed: map[uint32]viewed{}, reported: map[uint32][]float64{}}
+		recorder: records, classes: set.Classes, viewed: map[uint32]viewed{}, reported: map[uint32][]float64{},
+		figures: newFigures(len(set.Classes))}
 	c.Post(func() { c.handle(control.Start{}) })
 	return c
 }
@@ -155,6 +160,7 @@
 		// The id is in use: the first call goes on by its own rules, and who asked second is told that this failed. An id
 		// used again at once would be sent again within the release guard.
 		c.log.WithField("call", s.ID).Debug("set-up with the id of another call")
+		c.figures.Class(s.Class).Error.Add(1)
 		caller.Fail()
 		return
 	}
@@ -165,6 +171,7 @@
 	k := &call{Setup: s, caller: caller, arrived: arrived, dropDead: dropDead}
 	c.calls[s.ID] = k
 	c.pending++
+	c.figures.Pending.Add(1)
 	delete(c.over, s.ID)
 	c.noteTaken(k, arrived)
 	k.overdue = c.After(span(dropDead-c.clock.now())+backstop, func() { c.overdue(k) })
@@ -182,6 +189,7 @@
 	c.handle(control.Withdrawn{ID: k.ID})
 	c.close(k)
 	c.note(history.Event{Kind: history.Failed, Call: k.ID})
+	c.figures.Class(k.Class).Error.Add(1)
 	k.caller.Fail()
 }
 
@@ -240,6 +248,7 @@
 func (c *Core) close(k *call) {
 	if !k.stands {
 		c.pending--
+		c.figures.Pending.Add(-1)
 	}
 	k.overdue.Stop()
 	delete(c.calls, k.ID)
@@ -309,6 +318,7 @@
 	}
 	c.busy = false
 	c.noteViews()
+	c.countTargets(c.clock.now())
 }
 
 // ask guards against a panic in the module: one bad event must not end all calls. The overdue timer answers the call.
@@ -335,12 +345,14 @@
 		if k != nil {
 			c.close(k)
 			c.note(history.Event{Kind: history.Refused, Call: k.ID, Span: a.Wait})
+			c.figures.Class(k.Class).Overload.Add(1)
 			k.caller.Refuse(span(a.Wait))
 		}
 	case control.Fail:
 		if k != nil {
 			c.close(k)
 			c.note(history.Event{Kind: history.Failed, Call: k.ID})
+			c.figures.Class(k.Class).Error.Add(1)
 			k.caller.Fail()
 		}
 	case control.Cancel:
@@ -376,6 +388,7 @@
 			c.endAttempt(k, control.TimedOut, false)
 		}
 	})
+	c.figures.Class(k.Class).Dispatches.Add(1)
 	at.peer.setup(Attempt{ref: ref{k.ID, at.number}, Class: k.Class, Key: k.Key, Body: k.Body,
 		Deadline: time.Now().Add(span(left))})
 }
@@ -401,6 +414,8 @@
 	k.overdue.Stop()
 	k.stands, k.stoodAt = true, c.clock.now()
 	c.pending--
+	c.figures.Pending.Add(-1)
+	c.figures.Class(k.Class).Success.Add(1)
 	c.note(history.Event{Kind: history.Stood, Call: k.ID, Attempt: a.number, Server: a.server, Span: k.stoodAt - k.arrived})
 	told := k.caller.Answer(body)
 	c.handle(control.Opened{ID: k.ID, Attempt: a.number, Server: a.server, Took: k.stoodAt - a.sentAt})
--- /dev/null
+++ b/internal/routing/figures.go
@@ -0,0 +1,53 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"beammux/control"
+)
+
+// Figures are the counts that the core keeps where each outcome is decided: what the operators read. They start at 0
+// with the process. Each is read without the core's actor, so that a busy core never holds an answer back.
+type Figures struct {
+	classes  []classFigures // by place in the settings; the last one is for classes that they don't name
+	Pending  atomic.Int64   // taken and not yet ended
+	Targets  atomic.Int64   // servers on the list
+	Disabled atomic.Int64   // of those, the ones now avoided
+}
+
+type classFigures struct {
+	Success, Overload, Error, Dispatches atomic.Int64
+}
+
+// Class gives the counts of a class: its place in the settings, or -1 for one that they don't name.
+func (f *Figures) Class(class int) *ClassFigures {
+	if class < 0 || class >= len(f.classes)-1 {
+		class = len(f.classes) - 1
+	}
+	return (*ClassFigures)(&f.classes[class])
+}
+
+// ClassFigures are the counts of one class.
+type ClassFigures classFigures
+
+func newFigures(classes int) *Figures { return &Figures{classes: make([]classFigures, classes+1)} }
+
+// Figures gives the core's counts.
+func (c *Core) Figures() *Figures { return c.figures }
+
+// countTargets takes the list's size and the servers avoided from the module, at most every lookEvery.
+func (c *Core) countTargets(now control.Micros) {
+	if now-c.countedAt < lookEvery {
+		return
+	}
+	c.countedAt = now
+	c.counted = c.module.Views(c.counted[:0])
+	disabled := 0
+	for _, v := range c.counted {
+		if v.Gated() {
+			disabled++
+		}
+	}
+	c.figures.Targets.Store(int64(len(c.counted)))
+	c.figures.Disabled.Store(int64(disabled))
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -76,6 +76,9 @@
 	c.held.Add(-1)
 }
 
+// Used tells when the connection last carried a message or an answer.
+func (c *Conn) Used() time.Time { return time.Unix(0, c.used.Load()) }
+
 // Held tells whether something is owed on the connection.
 func (c *Conn) Held() bool { return c.held.Load() > 0 }
 
