Callers' address bound with SO_REUSEPORT: a new process starts beside the old one

Change: transport.Listen binds through a net.ListenConfig that sets SO_REUSEPORT, so both processes take new connections until the old one closes its listener at SIGTERM's drain.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,7 +6,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrBudget says that no descriptor is to spare.
@@ -49,6 +52,14 @@
 	return NewConn(nc, b.give), nil
 }
 
+var shared = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
+		return e
+	}
+	return err
+}}
+
 // Listener takes in connections and hands each to a handler in a goroutine of its own.
 type Listener struct {
 	net.Listener
@@ -58,9 +69,10 @@
 	conns  map[*Conn]struct{}
 }
 
-// Listen binds a TCP address.
+// Listen binds a TCP address. The address may be shared with another process that binds it the same way
+// (SO_REUSEPORT): at a hand-over the new process takes its share of new connections while the old one drains.
 func Listen(addr string, budget *Budget) (*Listener, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := shared.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
