Drain: 2 s after evacuate, calls standing on a kept connection are released, it closes

Checked: no set-up was owed on it, and the front counts a connection whose only business is a standing call as held idle.

Rejected: keeping such connections until their calls end - calls can outlast the 4 s.

Test: TestStandingCallIsReleasedAtTheCut.

--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -14,8 +14,12 @@
 
 import "beammux/control"
 
-// Quiet is how long a connection with nothing owed on it stays open once the gatekeeper is evacuated.
-const Quiet control.Micros = 300_000
+// Quiet is how long a connection with nothing owed on it stays open once the gatekeeper is evacuated. Cut is when
+// calls that still stand on a connection are released, so that it can close.
+const (
+	Quiet control.Micros = 300_000
+	Cut   control.Micros = 2_000_000
+)
 
 // Drain is the state of one gatekeeper: serving, or evacuated since a time. The zero value serves.
 type Drain struct {
@@ -49,8 +53,30 @@
 // Changes counts the changes between ready and not ready, for the figures.
 func (d *Drain) Changes() int { return d.changes }
 
-// Close tells whether a caller's connection is to be closed now. owed: a set-up on it waits for its answer; used: when
-// it last carried a message or an answer.
-func (d *Drain) Close(now, used control.Micros, owed bool) bool {
-	return d.evacuated && !owed && now-max(used, d.since) >= Quiet
+// Verdict is what becomes of one caller's connection.
+type Verdict int
+
+const (
+	Keep    Verdict = iota
+	Close           // nothing is owed on it: closed once what is queued is written
+	Release         // the calls that came on it and stand are released towards both sides, then it is closed
+)
+
+// Connection decides of a caller's connection. used: when it last carried a message or an answer; owed: a set-up on it
+// waits for its answer; standing: a call that came on it stands.
+//
+// The front holds against the gatekeeper any connection still open 4 s after the evacuate that is idle or has carried a
+// request in the last 2 s. So up to Cut a connection whose calls stand is kept, and their releases are told there as they
+// come; from Cut on those calls are released by the gatekeeper and the connection closes, which leaves 2 s for the
+// answers still owed on the others.
+func (d *Drain) Connection(now, used control.Micros, owed, standing bool) Verdict {
+	switch {
+	case !d.evacuated || owed:
+		return Keep
+	case standing && now-d.since >= Cut:
+		return Release
+	case !standing && now-max(used, d.since) >= Quiet:
+		return Close
+	}
+	return Keep
 }
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -69,8 +69,8 @@
 		if d.Ready() {
 			continue
 		}
-		n.front.Sweep(func(used time.Time, owed bool) bool {
-			return d.Close(at, control.Micros(used.Sub(n.ops.started)/time.Microsecond), owed)
+		n.front.Sweep(func(used time.Time, owed, standing bool) drain.Verdict {
+			return d.Connection(at, control.Micros(used.Sub(n.ops.started)/time.Microsecond), owed, standing)
 		})
 	}
 }
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -179,3 +179,35 @@
 		t.Fatalf("malformed call: %q", line)
 	}
 }
+
+// A call that still stands on a kept connection 2 s after evacuate is released towards both sides, and the connection
+// closes: the front would hold an idle connection against the gatekeeper at 4 s.
+func TestStandingCallIsReleasedAtTheCut(t *testing.T) {
+	n := operatorsNode(t)
+	server := siptest.New(t, slowly(10*time.Millisecond))
+	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	open(c, "00000000000000d1", "1", 3000)
+	r := bufio.NewReader(c)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if line, err := r.ReadString('\n'); err != nil || !strings.Contains(line, `"ready"`) {
+		t.Fatalf("answer: %q %v", line, err)
+	}
+	evacuated := time.Now()
+	call(t, n, "POST", "/api/evacuate")
+	line, err := r.ReadString('\n')
+	if err != nil || !strings.Contains(line, `"close"`) || !strings.Contains(line, `"code":16`) {
+		t.Fatalf("release: %q %v", line, err)
+	}
+	if took := time.Since(evacuated); took < 1900*time.Millisecond || took > 3500*time.Millisecond {
+		t.Errorf("released %v after evacuate", took)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("connection after the release: %v", err)
+	}
+	server.Wait("BYE", siptest.Is("BYE"))
+}
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -14,12 +14,14 @@
 
 	"github.com/sirupsen/logrus"
 
+	"beammux/control/drain"
 	"beammux/internal/routing"
 	"beammux/internal/transport"
 )
 
 const (
 	causeInvalid = 100             // a set-up whose fields can't be read
+	causeNormal  = 16              // normal clearing: a call that the gatekeeper releases
 	keepOrphan   = 8 * time.Second // a release without any connection waits so long for one
 	maxWaiting   = 4096            // releases that so wait
 	maxLeft      = 10 * time.Minute
@@ -74,17 +76,39 @@
 // Rejoin passes the tests again.
 func (f *Front) Rejoin() { f.draining.Store(false) }
 
-// Sweep finishes the connections for which close says so; it hears when each was last used and whether anything is
-// owed on it: an answer to a set-up, or the release of a call that came on it and stands.
-func (f *Front) Sweep(close func(used time.Time, owed bool) bool) {
+// Sweep carries out what decide says of each connection; it hears when one was last used, whether an answer to a
+// set-up is owed on it, and whether a call that came on it stands. Calls released here are told to both sides: the
+// server by the core, the caller on the connection, before it closes.
+func (f *Front) Sweep(decide func(used time.Time, owed, standing bool) drain.Verdict) {
 	f.mu.Lock()
 	conns := slices.Clone(f.conns)
 	f.mu.Unlock()
 	for _, c := range conns {
-		if close(c.Used(), c.InUse()) {
+		switch decide(c.Used(), c.Held(), c.InUse() && !c.Held()) {
+		case drain.Close:
 			c.Finish()
+		case drain.Release:
+			for _, id := range f.standing(c) {
+				f.core.Hangup(id, causeNormal, nil, func(bool) {})
+				c.send(Message{Type: "close", ID: id, Code: causeNormal})
+			}
+			c.Finish()
+		}
+	}
+}
+
+// standing takes the calls that stand on a connection off it.
+func (f *Front) standing(c *conn) (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, o := range f.stands {
+		if o == c {
+			ids = append(ids, id)
+			delete(f.stands, id)
+			c.Call(-1)
 		}
 	}
+	return ids
 }
 
 // conn is one connection of callers and the set-ups that came on it and are not answered.
