--- a/cmd/beammux/console.go
+++ b/cmd/beammux/console.go
@@ -23,7 +23,7 @@
 
 type consoleCmd struct {
 	Records []string      `help:"Folders of records to replay." xor:"source" required:""`
-	Attach  []string      `help:"Admin addresses of gatekeepers: unix:PATH or HOST:PORT." xor:"source" required:""`
+	Attach  []string      `help:"Console sockets of gatekeepers: unix:PATH or HOST:PORT." xor:"source" required:""`
 	Speed   float64       `help:"Of a replay, in real time." default:"10"`
 	For     time.Duration `help:"How long to watch before a plain table is printed, where the output is no terminal." default:"2s"`
 }
@@ -62,7 +62,7 @@
 			}
 		}
 		for i, addr := range c.Attach {
-			first, err := dialAdmin(addr)
+			first, err := dialConsole(addr)
 			if err != nil {
 				return err
 			}
@@ -141,7 +141,7 @@
 	}
 }
 
-func dialAdmin(addr string) (net.Conn, error) {
+func dialConsole(addr string) (net.Conn, error) {
 	network, address, err := admin.Split(addr)
 	if err != nil {
 		return nil, err
@@ -152,7 +152,7 @@
 // watch brings a gatekeeper's events, and connects again when the connection breaks; what was missed is a gap.
 func watch(ctx context.Context, addr string, conn net.Conn, items chan<- record.Item) {
 	var last history.Event
-	for ; ; conn, _ = dialAdmin(addr) {
+	for ; ; conn, _ = dialConsole(addr) {
 		if conn != nil {
 			var once sync.Once
 			end := context.AfterFunc(ctx, func() { once.Do(func() { conn.Close() }) })
--- a/cmd/beammux/records_test.go
+++ b/cmd/beammux/records_test.go
@@ -179,7 +179,7 @@
 	dir := t.TempDir()
 	socket := "unix:" + filepath.Join(dir, "admin.sock")
 	deploy := filepath.Join(dir, "deploy.json")
-	text, _ := json.Marshal(map[string]any{"inventory": "deploy/example/servers.csv", "admin": map[string]string{"listen": socket}})
+	text, _ := json.Marshal(map[string]any{"inventory": "deploy/example/servers.csv", "console": map[string]string{"listen": socket}})
 	if err := os.WriteFile(deploy, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -31,7 +31,7 @@
 	Inventory      string        // file of servers
 	Calls          *retry.Policy // nil: as the settings say
 	Records        *Records      // nil: off
-	Admin          string        // where staff may watch, unix:PATH or HOST:PORT on loopback; empty: off
+	Console        string        // socket where staff may watch with the console,, unix:PATH or HOST:PORT on loopback; empty: off
 
 	file  *jsonfile.File // nil where there is no file
 	calls *retry.File    // nil without the section
@@ -68,7 +68,7 @@
 		return nil, err
 	}
 	d := &Deploy{file: f}
-	top := f.Members(f.Root, "$schema", "sip", "store", "inventory", "calls", "records", "admin")
+	top := f.Members(f.Root, "$schema", "sip", "store", "inventory", "calls", "records", "console")
 	f.String(top[0])
 	sip := f.Members(top[1], "udp", "tcp", "default_class")
 	d.SIPUDP, d.SIPTCP, d.DefaultClass = f.String(sip[0]), f.String(sip[1]), f.String(sip[2])
@@ -82,8 +82,8 @@
 		d.records(top[5])
 	}
 	listen := f.Members(top[6], "listen")[0]
-	if d.Admin = f.String(listen); d.Admin != "" {
-		if _, _, err := admin.Split(d.Admin); err != nil {
+	if d.Console = f.String(listen); d.Console != "" {
+		if _, _, err := admin.Split(d.Console); err != nil {
 			f.Fault(listen.Path, err.Error())
 		}
 	}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -1,4 +1,4 @@
-// Package console shows a fleet on a terminal: live from gatekeepers' admin sockets, or from records at a speed.
+// Package console shows a fleet on a terminal: live from gatekeepers' console sockets, or from records at a speed.
 package console
 
 import (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,12 +177,12 @@
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", addr)
 		}}
-	if deploy.Admin != "" {
-		if err = n.hub.Listen(deploy.Admin); err != nil {
+	if deploy.Console != "" {
+		if err = n.hub.Listen(deploy.Console); err != nil {
 			n.listener.Close()
 			return nil, err
 		}
-		log.WithField("listen", n.hub.Addr()).Info("admin socket serving")
+		log.WithField("listen", n.hub.Addr()).Info("console socket serving")
 	}
 	go n.bus.Run(ctx)
 	go n.remember(ctx)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -17,7 +17,7 @@
 // openRecords opens what hears of events: the records of this start and the socket for watchers, where the deploy file
 // names them.
 func (n *Node) openRecords() (routing.Recorder, error) {
-	if n.deploy.Records == nil && n.deploy.Admin == "" {
+	if n.deploy.Records == nil && n.deploy.Console == "" {
 		return nil, nil
 	}
 	if o := n.deploy.Records; o != nil {
@@ -27,7 +27,7 @@
 			return nil, err
 		}
 		n.records = r
-		if n.deploy.Admin == "" {
+		if n.deploy.Console == "" {
 			return r, nil
 		}
 	}
