Test a hand-over of two processes on one callers' address, and a bad operators' address

TestHandOver starts two real processes with one listen address and their own PROXY_ADMIN_ADDR, sees both ready, ends the first with SIGTERM (exit 0) and finds the second answering on the shared address. TestBadOperatorsAddress: admin_addr or $PROXY_ADMIN_ADDR that is not HOST:PORT is one line naming it, exit 1.

--- a/cmd/beammux/serve_test.go
+++ b/cmd/beammux/serve_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -80,3 +83,95 @@
 		t.Errorf("the program ended with: %v", err)
 	}
 }
+
+// A hand-over: a second process with the same callers' address and another operators' address starts beside the first,
+// says ready, and the first ends cleanly on SIGTERM while the second goes on serving.
+func TestHandOver(t *testing.T) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := probe.Addr().String()
+	probe.Close()
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"listen":%q,"settings":%s}`, listen, `{"classes":[{"name":"menu-view","repeat":"read_like"}]}`)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start := func() (*exec.Cmd, string) {
+		cmd := program("serve", "--log-format", "json")
+		cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file, "PROXY_ADMIN_ADDR=127.0.0.1:0")
+		lines := started(t, cmd)
+		for lines.Scan() {
+			var line struct{ Msg, Listen string }
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "operators' address serving" {
+				go func() {
+					for lines.Scan() {
+					}
+				}()
+				return cmd, line.Listen
+			}
+		}
+		t.Fatalf("the program did not start: %v", cmd.Wait())
+		return nil, ""
+	}
+	ready := func(addr string) int {
+		resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + addr + "/api/ready")
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	old, oldAddr := start()
+	next, nextAddr := start()
+	if ready(oldAddr) != 200 || ready(nextAddr) != 200 {
+		t.Fatalf("ready: old %d, new %d", ready(oldAddr), ready(nextAddr))
+	}
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.Wait(); err != nil {
+		t.Fatalf("the old process ended with: %v", err)
+	}
+	for range 5 {
+		c, err := net.DialTimeout("tcp", listen, time.Second)
+		if err != nil {
+			t.Fatalf("callers' address after the hand-over: %v", err)
+		}
+		fmt.Fprintln(c, `{"msg":"probe","sid":"0000000000000001","attrs":{},"code":0}`)
+		c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		line, err := bufio.NewReader(c).ReadString('\n')
+		c.Close()
+		if !strings.Contains(line, `"probed"`) {
+			t.Fatalf("the new process did not answer: %q %v", line, err)
+		}
+	}
+	next.Process.Signal(syscall.SIGTERM)
+	if err := next.Wait(); err != nil {
+		t.Errorf("the new process ended with: %v", err)
+	}
+}
+
+// A bad operators' address stops the start with one line that names it.
+func TestBadOperatorsAddress(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","admin_addr":"nowhere","settings":%s}`, `{"classes":[{"name":"menu-view","repeat":"read_like"}]}`)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := program("serve")
+	cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file)
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "key admin_addr: \"nowhere\" is not HOST:PORT") {
+		t.Fatalf("exit %v, said %q", err, out)
+	}
+	text = fmt.Sprintf(`{"listen":"127.0.0.1:0","settings":%s}`, `{"classes":[{"name":"menu-view","repeat":"read_like"}]}`)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd = program("serve")
+	cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file, "PROXY_ADMIN_ADDR=127.0.0.1:http")
+	out, err = cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "PROXY_ADMIN_ADDR") {
+		t.Fatalf("exit %v, said %q", err, out)
+	}
+}
