Operators' connections: at most 32, the oldest closed first, counted in the descriptor limit

The first version closed a new connection past 64 - a true ready check behind a crowd would be refused - and 64 descriptors were outside the budget that callers and servers share.

Change: over 32 the oldest connection is closed (a true call is answered in milliseconds, so the oldest is a silent one); the budget of callers and servers is cut by 33 where the operators' address is on. Test: TestCrowdOfSilentCallers (96 silent, ready within 1 s, the first silent one closed, at most 32 open).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"beammux/internal/admin"
 	"beammux/internal/config"
 	"beammux/internal/inventory"
+	"beammux/internal/ops"
 	"beammux/internal/protocol/bus"
 	"beammux/internal/protocol/jsonl"
 	"beammux/internal/protocol/sip"
@@ -121,7 +122,11 @@
 	if files <= 0 {
 		files = plainFiles
 	}
-	budget := transport.NewBudget(max(8, files-ownFiles), files/8)
+	own := ownFiles
+	if cfg.Admin != "" {
+		own += ops.ConnsMost + 1 // the operators' connections and listener are descriptors of the same limit
+	}
+	budget := transport.NewBudget(max(8, files-own), files/8)
 	timeout := time.Duration(cfg.Site.DialTimeout) * time.Microsecond
 	if timeout <= 0 {
 		timeout = dialTimeout
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -7,7 +7,7 @@
 //	POST /api/rejoin     take clients again
 //
 // It is built on net/http with every time set: a caller that sends nothing or half a call holds one goroutine and one
-// descriptor until its deadline, never a lock or another caller's answer. Connections over a bound are closed at once.
+// descriptor until its deadline, never a lock or another caller's answer. Over a bound the oldest connection is closed.
 // Rejected: a reader of our own over net/textproto. HTTP/1.1 has more corners (continuation, chunked bodies, pipelining)
 // than a few lines get right, and net/http answers them with 400.
 package ops
@@ -19,8 +19,9 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,7 +31,7 @@
 	headerWithin = 800 * time.Millisecond // for a whole call; then the connection is closed
 	answerWithin = time.Second
 	headerMost   = 8 << 10
-	connsMost    = 64 // open connections; one more is closed at once
+	ConnsMost    = 32 // open connections, each a descriptor; one more closes the oldest
 )
 
 // Gatekeeper is what the operators' calls reach. Each method returns at once.
@@ -123,37 +124,50 @@
 	io.WriteString(w, body)
 }
 
-// bounded closes connections beyond connsMost at once, so that a crowd of silent callers costs a bounded number of
-// descriptors. It never blocks Accept: a caller over the bound is told by a closed connection, not held in the queue.
+// bounded keeps at most ConnsMost connections open, so that a crowd of silent callers costs a bounded number of
+// descriptors. Over the bound the oldest one is closed: a true call is answered within milliseconds, so the oldest is a
+// caller that sends nothing or half a call. Accept never blocks: nobody waits in the queue behind a crowd.
 type bounded struct {
 	net.Listener
-	open atomic.Int64
+	mu   sync.Mutex
+	open []*counted // oldest first
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
-	for {
-		c, err := b.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if b.open.Add(1) > connsMost {
-			b.open.Add(-1)
-			c.Close()
-			continue
-		}
-		return &counted{Conn: c, open: &b.open}, nil
+	c, err := b.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	k := &counted{Conn: c, from: b}
+	var oldest *counted
+	b.mu.Lock()
+	if len(b.open) >= ConnsMost {
+		oldest = b.open[0]
+		b.open = b.open[1:]
+	}
+	b.open = append(b.open, k)
+	b.mu.Unlock()
+	if oldest != nil {
+		oldest.Conn.Close()
+	}
+	return k, nil
+}
+
+func (b *bounded) forget(k *counted) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.open, k); i >= 0 {
+		b.open = slices.Delete(b.open, i, i+1)
 	}
 }
 
 type counted struct {
 	net.Conn
-	open   *atomic.Int64
-	closed atomic.Bool
+	from *bounded
+	once sync.Once
 }
 
 func (c *counted) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.open.Add(-1)
-	}
+	c.once.Do(func() { c.from.forget(c) })
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,74 @@
+package ops
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+)
+
+type fake struct{ ready bool }
+
+func (f *fake) Ready() bool              { return f.ready }
+func (f *fake) Evacuate()                { f.ready = false }
+func (f *fake) Rejoin()                  { f.ready = true }
+func (f *fake) WriteFigures(w io.Writer) { io.WriteString(w, "proxy_concurrent 0\n") }
+
+// A crowd of silent callers larger than the bound: the oldest are closed, the count of open connections stays within
+// it, and a true call is answered at once.
+func TestCrowdOfSilentCallers(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	s, err := Listen("127.0.0.1:0", &fake{ready: true}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	var silent []net.Conn
+	for range 3 * ConnsMost {
+		c, err := net.Dial("tcp", s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		silent = append(silent, c)
+	}
+	started := time.Now()
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + s.Addr() + "/api/ready")
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("ready behind a crowd: %v %v", resp, err)
+	}
+	resp.Body.Close()
+	if took := time.Since(started); took > time.Second {
+		t.Fatalf("answered after %v", took)
+	}
+	first := silent[0]
+	first.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the oldest silent caller: %v", err)
+	}
+	b := s.ln.(*bounded)
+	b.mu.Lock()
+	open := len(b.open)
+	b.mu.Unlock()
+	if open > ConnsMost {
+		t.Fatalf("%d connections open, bound %d", open, ConnsMost)
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	for _, bad := range []string{"nowhere", "127.0.0.1:http", "127.0.0.1:70000", ":"} {
+		if _, _, err := Split(bad); err == nil {
+			t.Errorf("%q taken", bad)
+		}
+	}
+	if _, _, err := Split("127.0.0.1:0"); err != nil {
+		t.Error(err)
+	}
+	if !strings.Contains(func() string { _, _, err := Split("x:y"); return err.Error() }(), `port "y"`) {
+		t.Error("the fault does not name the port")
+	}
+}
