Room in a crowd: a connection on which a message is being written goes after silent ones

Need: on crowded restarts thousands connect without finishing a request while every true request comes on a new connection, some taking 2 s to write, with descriptors halved. When the budget ran out, makeRoom closed the oldest connection that had not sent a whole message - a true request being written slowly is older than the silent ones behind it, so it was the one closed ("closed on" at the door).

Change: transport.Conn notes its first byte; rank puts connections that sent nothing below those with a message under way. Test: TestSlowWriterOutlastsTheSilentCrowd.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -59,6 +59,16 @@
 	calls  atomic.Int32 // calls that stand and came on it
 	used   atomic.Int64 // when it was last used, in Unix nanoseconds
 	spoke  atomic.Bool  // a whole message has come on it
+	began  atomic.Bool  // a byte has come on it
+}
+
+// Read reads from the connection and notes that something has come.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.began.Load() {
+		c.began.Store(true)
+	}
+	return n, err
 }
 
 // Spoke notes that a whole message has come.
@@ -100,14 +110,18 @@
 	return c.used.Load() < o.used.Load()
 }
 
+// rank orders connections by how much they would be missed: nothing came on it yet; a message is being written (a
+// true request may take 2 s); it has spoken, but no call of it stands; a call of it stands.
 func (c *Conn) rank() int {
 	switch {
-	case !c.spoke.Load():
+	case !c.spoke.Load() && !c.began.Load():
 		return 0
-	case c.calls.Load() <= 0:
+	case !c.spoke.Load():
 		return 1
+	case c.calls.Load() <= 0:
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // NewConn starts the writer of a connection. onGone, if not nil, is called once after the connection is closed.
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -247,3 +248,46 @@
 	default:
 	}
 }
+
+// In a crowd that never sends a byte, a true request that takes its time to be written is not what makes room: the
+// older connections that sent nothing go first, even a newer silent one before it.
+func TestSlowWriterOutlastsTheSilentCrowd(t *testing.T) {
+	b := NewBudget(4, 1)
+	l, err := Listen("127.0.0.1:0", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := make(chan *Conn, 9)
+	go l.Serve(func(c *Conn) {
+		taken <- c
+		c.Read(make([]byte, 64)) // as a front reads the first bytes of a message
+		<-c.Gone()
+	})
+	defer l.Close()
+	connect := func() (net.Conn, *Conn) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c, <-taken
+	}
+	writer, slow := connect()
+	io.WriteString(writer, `{"msg":"open","sid":`)
+	for !slow.began.Load() {
+		runtime.Gosched()
+	}
+	slow.used.Store(1) // the oldest of all
+	_, silent := connect()
+	_, silent2 := connect()
+	for _, want := range []*Conn{silent, silent2} {
+		connect()
+		select {
+		case <-want.Gone():
+		case <-slow.Gone():
+			t.Fatal("the slow writer made room before a silent connection")
+		case <-time.After(10 * time.Second):
+			t.Fatal("nothing made room")
+		}
+	}
+}
