proxy_concurrent counts calls until they end, standing ones too; targets told at once

Change: concurrent is the size of the core's table of calls (owed an answer or standing), set where a call is put in and taken out. The list's size and the servers avoided are counted on every change of the list, not only 50 ms after the last count. Test: TestFiguresEqualTheCallsDriven asks concurrent 3 with three calls standing, 2 after one release, and targets 1 (it gave 0 and 0 before).

--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -32,7 +32,7 @@
 			set.NewGauge(fmt.Sprintf("proxy_%s{type=%q}", m.name, name), func() float64 { return float64(m.count.Load()) })
 		}
 	}
-	set.NewGauge("proxy_concurrent", func() float64 { return float64(max(0, f.Pending.Load())) })
+	set.NewGauge("proxy_concurrent", func() float64 { return float64(f.Open.Load()) })
 	set.NewGauge("proxy_targets", func() float64 { return float64(f.Targets.Load()) })
 	set.NewGauge("proxy_targets_disabled", func() float64 { return float64(f.Disabled.Load()) })
 	return &figures{set: set}
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// The figures are the calls driven: two refused while no server is known, three served by one.
+// The figures are the calls driven: two refused while no server is known, three served by one, which stand until
+// their release.
 func TestFiguresEqualTheCallsDriven(t *testing.T) {
 	n := operatorsNode(t)
 	answers := make(chan string, 9)
@@ -137,11 +138,18 @@
 	}
 	_, text := call(t, n, "GET", "/api/telemetry")
 	for _, want := range []string{`proxy_success_total{type="menu-view"} 3`, `proxy_overload_total{type="menu-view"} 2`,
-		`proxy_error_total{type="menu-view"} 0`, `proxy_dispatches_total{type="menu-view"} 3`, "proxy_concurrent 0"} {
+		`proxy_error_total{type="menu-view"} 0`, `proxy_dispatches_total{type="menu-view"} 3`, "proxy_concurrent 3",
+		"proxy_targets 1", "proxy_targets_disabled 0"} {
 		if !strings.Contains(text, want+"\n") {
 			t.Errorf("no line %q in\n%s", want, text)
 		}
 	}
+	// A call that stands has not ended until its release.
+	fmt.Fprintln(c, `{"msg":"close","sid":"00000000000000c0","attrs":{},"code":16}`)
+	wait("closed")
+	if _, text = call(t, n, "GET", "/api/telemetry"); !strings.Contains(text, "proxy_concurrent 2\n") {
+		t.Errorf("after a release:\n%s", text)
+	}
 }
 
 // Callers that send nothing, or half a call, do not hold an answer to another caller back.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -171,7 +171,7 @@
 	k := &call{Setup: s, caller: caller, arrived: arrived, dropDead: dropDead}
 	c.calls[s.ID] = k
 	c.pending++
-	c.figures.Pending.Add(1)
+	c.figures.Open.Store(int64(len(c.calls)))
 	delete(c.over, s.ID)
 	c.noteTaken(k, arrived)
 	k.overdue = c.After(span(dropDead-c.clock.now())+backstop, func() { c.overdue(k) })
@@ -248,10 +248,10 @@
 func (c *Core) close(k *call) {
 	if !k.stands {
 		c.pending--
-		c.figures.Pending.Add(-1)
 	}
 	k.overdue.Stop()
 	delete(c.calls, k.ID)
+	c.figures.Open.Store(int64(len(c.calls)))
 	now := c.clock.now()
 	c.over[k.ID] = now
 	if now-c.swept > control.Micros(rememberFor/time.Microsecond)/4 {
@@ -414,7 +414,6 @@
 	k.overdue.Stop()
 	k.stands, k.stoodAt = true, c.clock.now()
 	c.pending--
-	c.figures.Pending.Add(-1)
 	c.figures.Class(k.Class).Success.Add(1)
 	c.note(history.Event{Kind: history.Stood, Call: k.ID, Attempt: a.number, Server: a.server, Span: k.stoodAt - k.arrived})
 	told := k.caller.Answer(body)
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -10,7 +10,7 @@
 // with the process. Each is read without the core's actor, so that a busy core never holds an answer back.
 type Figures struct {
 	classes  []classFigures // by place in the settings; the last one is for classes that they don't name
-	Pending  atomic.Int64   // taken and not yet ended
+	Open     atomic.Int64   // taken and not yet ended: owed an answer, or standing until its release
 	Targets  atomic.Int64   // servers on the list
 	Disabled atomic.Int64   // of those, the ones now avoided
 }
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -88,6 +88,7 @@
 	}
 	l.core.Post(func() {
 		l.core.peers = peers
+		l.core.countedAt = -lookEvery // the list's size is told at once
 		l.core.handle(control.List{Delta: true, Entries: entries})
 	})
 }
