Set-ups that can't be read count in proxy_error_total of their class

Need: the JSON front answers a set-up whose fields can't be read with a failure (cause 100) without the core; such a request had its final answer and counted in no figure, so success + overload + error fell short of the requests answered.

Change: the front tells the core (Unreadable), which counts an error for the class named, or for "unknown". Test: TestFiguresEqualTheCallsDriven drives one such set-up and asks error_total 1 (0 before).

--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// The figures are the calls driven: two refused while no server is known, three served by one, which stand until
+// The figures are the calls driven: two refused while no server is known, one that can't be read, three served by one, which stand until
 // their release.
 func TestFiguresEqualTheCallsDriven(t *testing.T) {
 	n := operatorsNode(t)
@@ -130,6 +130,8 @@
 		open(c, fmt.Sprintf("00000000000000a%d", i), "1", 1500)
 		wait("close")
 	}
+	open(c, "00000000000000e1", "not a number", 1500) // unreadable: failed at once
+	wait("close")
 	server := siptest.New(t, slowly(10*time.Millisecond))
 	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
 	for i := range 3 {
@@ -138,7 +140,7 @@
 	}
 	_, text := call(t, n, "GET", "/api/telemetry")
 	for _, want := range []string{`proxy_success_total{type="menu-view"} 3`, `proxy_overload_total{type="menu-view"} 2`,
-		`proxy_error_total{type="menu-view"} 0`, `proxy_dispatches_total{type="menu-view"} 3`, "proxy_concurrent 3",
+		`proxy_error_total{type="menu-view"} 1`, `proxy_dispatches_total{type="menu-view"} 3`, "proxy_concurrent 3",
 		"proxy_targets 1", "proxy_targets_disabled 0"} {
 		if !strings.Contains(text, want+"\n") {
 			t.Errorf("no line %q in\n%s", want, text)
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -41,6 +41,7 @@
 	Open(routing.Setup, routing.Caller)
 	Withdraw(id string, caller routing.Caller, done func(inTime bool))
 	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
+	Unreadable(class int) // a set-up that could not be read was told that it failed
 }
 
 // Front serves callers.
@@ -337,6 +338,11 @@
 	}
 	s, err := f.setup(m)
 	if err != nil {
+		class, known := f.classes[m.Attrs["class"]]
+		if !known {
+			class = -1
+		}
+		f.core.Unreadable(class)
 		invalid()
 		return
 	}
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -51,3 +51,7 @@
 	c.figures.Targets.Store(int64(len(c.counted)))
 	c.figures.Disabled.Store(int64(disabled))
 }
+
+// Unreadable counts a set-up that a front could not read and told that it failed: class is its place in the settings,
+// or -1. The core never saw it, but its caller had its final answer.
+func (c *Core) Unreadable(class int) { c.figures.Class(class).Error.Add(1) }
