--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -25,7 +25,7 @@
 }
 
 func (c *core) Open(s routing.Setup, k routing.Caller) { c.callers <- k; c.opened <- s }
-func (c *core) Unreadable(int) {}
+func (c *core) Unreadable(int)                         {}
 
 func (c *core) Withdraw(id string, _ routing.Caller, done func(bool)) {
 	c.withdrawn <- id
