--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -29,6 +29,25 @@
 	return startNode(t, cfg, &config.Deploy{}, log)
 }
 
+// withServer puts one stand-in server on the list, which answers set-ups after a time.
+func withServer(t *testing.T, n *Node, after time.Duration) *siptest.Party {
+	t.Helper()
+	server := siptest.New(t, slowly(after))
+	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
+	return server
+}
+
+// dial opens a caller's connection that the test closes.
+func dial(t *testing.T, n *Node) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
 func call(t *testing.T, n *Node, method, path string) (int, string) {
 	t.Helper()
 	req, _ := http.NewRequest(method, "http://"+n.OperatorsAddr()+path, nil)
@@ -71,18 +90,8 @@
 // is kept while the call that came on it stands, so that its release is told there.
 func TestKeptConnectionClosesOnceIdleAfterEvacuate(t *testing.T) {
 	n := operatorsNode(t)
-	server := siptest.New(t, slowly(600*time.Millisecond))
-	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
-	idle, err := net.Dial("tcp", n.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer idle.Close()
-	busy, err := net.Dial("tcp", n.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer busy.Close()
+	server := withServer(t, n, 600*time.Millisecond)
+	idle, busy := dial(t, n), dial(t, n)
 	open(busy, "00000000000000b1", "1", 3000)
 	server.Wait("INVITE", siptest.Is("INVITE"))
 	evacuated := time.Now()
@@ -132,8 +141,7 @@
 	}
 	open(c, "00000000000000e1", "not a number", 1500) // unreadable: failed at once
 	wait("close")
-	server := siptest.New(t, slowly(10*time.Millisecond))
-	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
+	withServer(t, n, 10*time.Millisecond)
 	for i := range 3 {
 		open(c, fmt.Sprintf("00000000000000c%d", i), "1", 3000)
 		wait("ready")
@@ -194,13 +202,8 @@
 // closes: the front would hold an idle connection against the gatekeeper at 4 s.
 func TestStandingCallIsReleasedAtTheCut(t *testing.T) {
 	n := operatorsNode(t)
-	server := siptest.New(t, slowly(10*time.Millisecond))
-	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
-	c, err := net.Dial("tcp", n.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	server := withServer(t, n, 10*time.Millisecond)
+	c := dial(t, n)
 	open(c, "00000000000000d1", "1", 3000)
 	r := bufio.NewReader(c)
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
