Store answers "not ready" until it has replayed; report reads DIR/records

Reports: record.Nodes read only the folder named.

With store.dir or peers, Start waits for it (at most 10 s, then a warning and the store's records follow). record.Folder takes DIR/records where DIR holds none; report says which folder it read. Off on the platform: no store there, nothing waits.

--- a/cmd/beammux/records.go
+++ b/cmd/beammux/records.go
@@ -184,7 +184,7 @@
 }
 
 type reportCmd struct {
-	Dir  []string  `arg:"" help:"Folders of records."`
+	Dir  []string  `arg:"" help:"Folders of records, or folders whose records/ holds them."`
 	Out  string    `help:"File for the HTML page." type:"path"`
 	JSON string    `help:"File for the findings as JSON; - for standard output." name:"json"`
 	From time.Time `help:"Begin (RFC 3339)."`
@@ -195,6 +195,9 @@
 	if c.Out == "" && c.JSON == "" {
 		return fault(fmt.Errorf("report: neither --out nor --json names a file"), 2)
 	}
+	for _, dir := range c.Dir {
+		fmt.Fprintf(os.Stderr, "report: records from %s\n", record.Folder(dir))
+	}
 	r, err := report.Build(report.Options{Dirs: c.Dir, From: c.From, To: c.To, Progress: func(n int) {
 		fmt.Fprintf(os.Stderr, "\rreport: %d records", n)
 	}})
--- a/cmd/beammux/store.go
+++ b/cmd/beammux/store.go
@@ -35,12 +35,13 @@
 	exitNotFound = 3
 	exitRevision = 4
 	exitNoAnswer = 5 // nobody answers, or the group has no leader
+	exitNotReady = 6 // the member has not replayed its log or caught up with a leader within --timeout
 )
 
 // member is what commands that ask a running member have in common.
 type member struct {
 	Store   string        `help:"Address of any member of the store." required:""`
-	Timeout time.Duration `help:"How long to wait for an answer." default:"5s"`
+	Timeout time.Duration `help:"How long to wait for an answer, also for a member that is not ready yet." default:"5s"`
 	JSON    bool          `help:"Print JSON."`
 }
 
@@ -57,6 +58,8 @@
 		code = exitNotFound
 	case errors.Is(err, store.ErrRevision):
 		code = exitRevision
+	case errors.Is(err, store.ErrNotReady):
+		code = exitNotReady
 	default:
 		code = exitNoAnswer
 	}
@@ -79,8 +82,12 @@
 		if s.Leader != "" {
 			leader = fmt.Sprintf("%s at %s", s.LeaderNode, s.Leader)
 		}
-		fmt.Fprintf(w, "member\t%s, %s\nleader\t%s\nterm\t%d\nrecords\t%d\napplied\t%d of %d\nsnapshot\tto %d\n", s.Node, strings.ToLower(s.State),
-			leader, s.Term, s.Records, s.Applied, s.Last, s.Snapshot)
+		ready := "yes"
+		if !s.Ready {
+			ready = "no: it has not replayed its log or caught up with a leader"
+		}
+		fmt.Fprintf(w, "member\t%s, %s\nleader\t%s\nready\t%s\nterm\t%d\nrecords\t%d\napplied\t%d of %d\nsnapshot\tto %d\n", s.Node,
+			strings.ToLower(s.State), leader, ready, s.Term, s.Records, s.Applied, s.Last, s.Snapshot)
 		if s.Contact > 0 {
 			fmt.Fprintf(w, "last word from the leader\t%d ms ago\n", s.Contact.Milliseconds())
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -402,10 +402,34 @@
 		return err
 	}
 	n.store = s
+	if o.Dir != "" || o.Listener != nil {
+		n.awaitStore(s)
+	}
 	n.recordConfiguration(n.cfg)
 	return nil
 }
 
+// storeReadyWithin bounds how long a start waits for the store. A group without a majority must not keep a gatekeeper
+// from its callers: past it, the gatekeeper serves with its inventory file and the event bus, and takes the store's
+// records as they are applied.
+const storeReadyWithin = 10 * time.Second
+
+// awaitStore holds the start until the member has replayed its log and caught up with a leader, so that `serving` and a
+// yes to /api/ready never come while the store would answer from an older state.
+func (n *Node) awaitStore(s *store.Node) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), storeReadyWithin)
+	defer cancel()
+	if err := s.WaitReady(ctx); err != nil {
+		n.log.WithError(err).WithField("waited_ms", time.Since(began).Milliseconds()).
+			Warn("store: not ready; serving with the inventory file and the event bus, the store's records follow")
+		return
+	}
+	st := s.Status()
+	n.log.WithFields(logrus.Fields{"waited_ms": time.Since(began).Milliseconds(), "records": st.Records, "applied": st.Applied}).
+		Info("store ready")
+}
+
 const storeWithin = 10 * time.Second
 
 // recordConfiguration notes in the store what this gatekeeper runs with. Nothing waits for it.
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -66,10 +66,37 @@
 	event    history.Event
 }
 
-// Nodes lists the gatekeepers whose records are in some folders. One that holds no records at all is an error that says so.
+// Sub is the folder within a folder that the project's own commands write records to (`incident play --out DIR`).
+const Sub = "records"
+
+// Folder is where the records of a named folder are: the folder itself where it holds any, else its Sub folder where that
+// holds some, else the folder as named.
+func Folder(dir string) string {
+	if holds(dir) {
+		return dir
+	}
+	if sub := filepath.Join(dir, Sub); holds(sub) {
+		return sub
+	}
+	return dir
+}
+
+func holds(dir string) bool {
+	entries, _ := os.ReadDir(dir)
+	for _, e := range entries {
+		if _, ok := parseName(e.Name()); ok && !e.IsDir() {
+			return true
+		}
+	}
+	return false
+}
+
+// Nodes lists the gatekeepers whose records are in some folders, each looked up by Folder. One that holds no records at
+// all is an error that says so.
 func Nodes(dirs ...string) ([]*Node, error) {
 	var nodes []*Node
 	for _, dir := range dirs {
+		dir = Folder(dir)
 		entries, err := os.ReadDir(dir)
 		if err != nil {
 			return nil, err
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,6 +29,7 @@
 	Snapshot   uint64        `json:"snapshot"`
 	Contact    time.Duration `json:"last_contact_ns"` // since word from the leader; 0 at the leader
 	Records    int           `json:"records"`
+	Ready      bool          `json:"ready"` // what it reads is as new as its log and its leader: see Node.Ready
 	Members    []Member      `json:"members"`
 }
 
@@ -36,7 +37,7 @@
 func (n *Node) Status() Status {
 	leader, id := n.raft.LeaderWithID()
 	s := Status{Node: n.id, State: n.raft.State().String(), LeaderNode: string(id), Leader: string(leader), Term: n.raft.CurrentTerm(),
-		Applied: n.raft.AppliedIndex(), Last: n.raft.LastIndex(), Records: len(n.fsm.list("")), Members: []Member{}}
+		Applied: n.raft.AppliedIndex(), Last: n.raft.LastIndex(), Records: len(n.fsm.list("")), Ready: n.Ready(), Members: []Member{}}
 	if !n.Leader() && !n.raft.LastContact().IsZero() {
 		s.Contact = time.Since(n.raft.LastContact())
 	}
@@ -49,8 +50,13 @@
 	return s
 }
 
-// read answers what is read at this member.
+// read answers what is read at this member. Records are not read before it is ready: what it holds then may be older
+// than what it held before it stopped.
 func (n *Node) read(c command, r *result) bool {
+	if (c.Op == opGet || c.Op == opList) && !n.Ready() {
+		r.Fault = ErrNotReady.Error()
+		return true
+	}
 	switch c.Op {
 	case opGet:
 		if got, ok := n.Get(c.Key); ok {
@@ -110,15 +116,35 @@
 // ErrNotFound says that there is no such record.
 var ErrNotFound = errors.New("no such record")
 
+// ErrNotReady says that a member has not yet replayed its log or caught up with a leader, so that what it would answer
+// may be older than what the group holds; nothing was read or written.
+var ErrNotReady = errors.New("not ready: no leader yet")
+
+// ask hands a command to the member at an address. While that member is not ready it asks again, until the context ends,
+// and then the error is ErrNotReady.
 func ask(ctx context.Context, addr string, c command) (result, error) {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return result{}, err
 	}
-	return forward(ctx, addr, data)
+	for waited := false; ; waited = true {
+		r, err := forward(ctx, addr, data)
+		switch {
+		case err != nil && waited && ctx.Err() != nil: // cut by the deadline while the member was not ready
+			return r, fmt.Errorf("%w (%v)", ErrNotReady, ctx.Err())
+		case !errors.Is(err, ErrNotReady):
+			return r, err
+		}
+		select {
+		case <-ctx.Done():
+			return r, fmt.Errorf("%w (%v)", ErrNotReady, ctx.Err())
+		case <-time.After(retryAfter):
+		}
+	}
 }
 
-// GetFrom reads a record at the member at an address. It may be a little older than what the leader holds.
+// GetFrom reads a record at the member at an address. It may be a little older than what the leader holds. A member
+// that is not ready is asked again until the context ends; then the error is ErrNotReady, never ErrNotFound.
 func GetFrom(ctx context.Context, addr, key string) (Record, error) {
 	r, err := ask(ctx, addr, command{Op: opGet, Key: key})
 	if err == nil && len(r.Records) == 0 {
--- a/internal/store/machine.go
+++ b/internal/store/machine.go
@@ -101,6 +101,14 @@
 	m.more = make(chan struct{})
 }
 
+// index is that of the last entry that the machine itself has applied; raft's own count runs ahead of it, since it counts
+// entries handed over.
+func (m *machine) index() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
+}
+
 // wait returns once a revision is applied here.
 func (m *machine) wait(ctx context.Context, revision uint64) error {
 	for {
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,6 +25,7 @@
 	electAfter  = 400 * time.Millisecond // without word from the leader
 	applyWithin = 2 * time.Second
 	retryAfter  = 30 * time.Millisecond // while there is no leader
+	readyEvery  = 5 * time.Millisecond  // how often a member that waits to be ready looks
 	sniffWithin = time.Second           // for the first byte of a connection
 	maxCommand  = 4 << 20
 	maxAnswer   = 256 << 20
@@ -68,6 +70,9 @@
 	trans   io.Closer
 	journal *journal.Journal // nil: in memory
 	ready   chan struct{}    // closed once raft is there: connections may come before
+	logs    raft.LogStore
+	replay  uint64      // the last index of the log as it was opened: what must be applied to be ready
+	caught  atomic.Bool // Ready has been true
 }
 
 // Open starts a node.
@@ -111,6 +116,7 @@
 		return nil, err
 	}
 	n.raft = r
+	n.replay = r.LastIndex()
 	close(n.ready)
 	if o.Join {
 		return n, nil
@@ -127,6 +133,7 @@
 func (n *Node) start(c *raft.Config, o Options, trans raft.Transport) (*raft.Raft, error) {
 	if o.Dir == "" {
 		logs := raft.NewInmemStore()
+		n.logs = logs
 		return raft.NewRaft(c, n.fsm, logs, logs, raft.NewInmemSnapshotStore(), trans)
 	}
 	c.SnapshotThreshold, c.SnapshotInterval, c.TrailingLogs = snapshotAfter, snapshotEvery, trailing
@@ -142,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.journal = j
+	n.journal, n.logs = j, j
 	if j.Cut > 0 && o.Log != nil {
 		o.Log.WithFields(logrus.Fields{"dir": o.Dir, "bytes": j.Cut}).Warn("store: a torn end of the log was cut off")
 	}
@@ -156,6 +163,62 @@
 // logDir is where the journal is within a store's folder; raft keeps its snapshots beside it.
 func logDir(dir string) string { return filepath.Join(dir, "log") }
 
+// Ready tells whether what this member reads is as new as what it held when it was opened and as what its leader has
+// told it is committed: a leader is known, and every entry up to both indexes is applied. Until then a member that was
+// restarted holds only its last snapshot, and a new one nothing. Once true it stays true; reads after that are local and
+// may lag the leader by what is in flight. The platform's single member in memory does not wait on it.
+func (n *Node) Ready() bool {
+	if n.caught.Load() {
+		return true
+	}
+	select {
+	case <-n.ready:
+	default:
+		return false
+	}
+	if !n.leaderKnown() {
+		return false
+	}
+	if n.fsm.index() < n.lastCommand(max(n.replay, n.raft.CommitIndex())) {
+		return false
+	}
+	n.caught.Store(true)
+	return true
+}
+
+// lastCommand is the index of the last command at or below an index that the machine has not applied yet, 0 if there is
+// none. Only commands reach the machine: no-ops and changes of members do not, so the machine's index stops below them.
+func (n *Node) lastCommand(upTo uint64) uint64 {
+	var l raft.Log
+	for i, applied := upTo, n.fsm.index(); i > applied; i-- {
+		if n.logs.GetLog(i, &l) != nil { // taken into a snapshot: applied with it
+			return 0
+		}
+		if l.Type == raft.LogCommand {
+			return i
+		}
+	}
+	return 0
+}
+
+func (n *Node) leaderKnown() bool {
+	leader, _ := n.raft.LeaderWithID()
+	return leader != "" || n.Leader()
+}
+
+// WaitReady returns once the member is Ready, or with ErrNotReady when the context ends first.
+func (n *Node) WaitReady(ctx context.Context) error {
+	for tick := time.NewTicker(readyEvery); !n.Ready(); {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return fmt.Errorf("store: %w after %v", ErrNotReady, context.Cause(ctx))
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
 // Leader tells whether this node leads.
 func (n *Node) Leader() bool { return n.raft.State() == raft.Leader }
 
@@ -220,6 +283,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if errors.Is(err, ErrNoLeader) || errors.Is(err, ErrNotReady) {
+				return 0, fmt.Errorf("store: %w (%v)", ErrNotReady, ctx.Err())
+			}
 			return 0, fmt.Errorf("store: %w (last: %v)", ctx.Err(), err)
 		case <-time.After(retryAfter):
 		}
@@ -264,11 +330,13 @@
 	if err = json.NewDecoder(io.LimitReader(c, maxAnswer)).Decode(&r); err != nil {
 		return r, err
 	}
-	switch r.Fault {
-	case "":
+	switch {
+	case r.Fault == "":
 		return r, nil
-	case ErrNoLeader.Error():
+	case r.Fault == ErrNoLeader.Error():
 		return r, ErrNoLeader
+	case strings.Contains(r.Fault, ErrNotReady.Error()):
+		return r, ErrNotReady
 	}
 	return r, errors.New(r.Fault)
 }
@@ -300,6 +368,8 @@
 			r.Done, err = n.ChangeMember(ctx, *cmd.Member, cmd.Hop)
 		case cmd.Hop: // from a node that took this one for the leader
 			r, err = n.commit(line)
+		case !n.leaderKnown(): // the caller waits, within its own time-out
+			err = ErrNotReady
 		default:
 			cmd.Hop = true
 			var revision uint64
