SIP front counts INVITEs it refuses before any server in proxy_error_total

Cause: internal/protocol/sip/uas.go invited refused with `refuse` and agent.go reject answered, neither told the core; the SIP front's Core interface had no Unreadable.

Change: Core.Unreadable in the SIP front's interface; the four refusals of a new INVITE in invited, and reject of a new INVITE (no To tag), count it for the class of X-Cos (default class, or the bucket of classes the settings don't name). Re-INVITEs (481, 488), loops (482), BYE and PUBLISH are not new set-ups and are not counted.

--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -1,10 +1,12 @@
 package sip
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +24,8 @@
 	Open(routing.Setup, routing.Caller)
 	Withdraw(id string, caller routing.Caller, done func(inTime bool))
 	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
+	// Unreadable counts a set-up that was refused before the core saw it: class is its place in the settings, or -1.
+	Unreadable(class int)
 }
 
 // Dialogs keeps records of calls that stand, for the next start. Its methods must not block.
@@ -354,6 +358,9 @@
 	}
 	m.setReceived(f.remote())
 	f.send(Respond(m, status, reason).Append(nil), nil, nil)
+	if m.Method == "INVITE" && m.Get("To") != "" && tag(m.Get("To")) == "" { // a new set-up, told that it failed
+		a.core.Unreadable(slices.Index(a.Classes, cmp.Or(m.Get("X-Cos"), a.DefaultClass)))
+	}
 }
 
 func (a *Agent) take(m *Message, f flow) {
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -329,6 +329,11 @@
 	caller := New(t, nil)
 	caller.Send("TCP", b.agent.Addr("TCP"), caller.Invite("TCP", "good", "1", "x"))
 	caller.Wait("answer on a good connection", Status(200, "INVITE"))
+	// New set-ups told that they failed are in error_total, by both ways: three refused as they were read (no From tag,
+	// CSeq of another method, too long) and three by the agent (scheme, extension, Expires); PUBLISH and BYE are none.
+	if n := b.core.Figures().Class(0).Error.Load(); n != 12 {
+		t.Errorf("error_total of menu-view is %d, want 12", n)
+	}
 }
 
 func TestOptions(t *testing.T) {
@@ -445,6 +450,11 @@
 	if n := server.Count(Is("INVITE")); n != 0 {
 		t.Errorf("%d set-ups came to the server", n)
 	}
+	// Each was told that it failed, so each is in error_total of its class, as on the JSON front.
+	f := b.core.Figures()
+	if own, other := f.Class(0).Error.Load(), f.Class(-1).Error.Load(); own != 3 || other != 1 {
+		t.Errorf("error_total: menu-view %d, want 3; unknown class %d, want 1", own, other)
+	}
 }
 
 // limited puts limits in force at which a call waits 300 ms before its second and last attempt.
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -56,18 +56,22 @@
 	target, err := parseURI(m.URI)
 	s := routing.Setup{ID: k.id, Key: target.user, FirstChoice: -1, Body: m.Body}
 	bad := a.read(m, &s)
+	unread := func(status int, reason string, header ...string) { // in error_total, as on the JSON front
+		a.core.Unreadable(s.Class)
+		refuse(status, reason, header...)
+	}
 	switch {
 	case err != nil:
-		refuse(416, "Unsupported URI Scheme")
+		unread(416, "Unsupported URI Scheme")
 		return
 	case len(m.Body) > routing.MaxBody:
-		refuse(413, "Request Entity Too Large")
+		unread(413, "Request Entity Too Large")
 		return
 	case bad, !routing.ValidKey(s.Key):
-		refuse(400, "Bad Request")
+		unread(400, "Bad Request")
 		return
 	case len(m.list("Require")) > 0:
-		refuse(420, "Bad Extension", "Unsupported", m.Get("Require"))
+		unread(420, "Bad Extension", "Unsupported", m.Get("Require"))
 		return
 	}
 	t.respond(Respond(m, 100, "Trying"))
