--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -117,7 +117,8 @@
 var ErrNotFound = errors.New("no such record")
 
 // ErrNotReady says that a member has not yet replayed its log or caught up with a leader, so that what it would answer
-// may be older than what the group holds; nothing was read or written.
+// may be older than what the group holds. Nothing was read. A write so answered may still have been taken by an earlier
+// try within the same call, as after any time-out: a write with a revision (PutTo with at) tells which.
 var ErrNotReady = errors.New("not ready: no leader yet")
 
 // ask hands a command to the member at an address. While that member is not ready it asks again, until the context ends,
