A set-up that crosses the close of its connection never runs; ready waits for the store

A set-up that crossed the FIN was taken and sent to a server (front.go open, conn.go Finish/linger), given up when the linger ended 200 ms later, and sent once more by its caller at that very moment, to the new process, which knows no guard. Now Hold and the decision to close are one under the connection's lock: a connection with something owed is not closed, and what is read after the close began is dropped unsent. makeRoom decides the same way. TestSetupThatCrossesACloseNeverRuns: before, 1 taken and 1 given up; now 0.

--- a/cmd/beammux/serve.go
+++ b/cmd/beammux/serve.go
@@ -50,7 +50,11 @@
 		cfg.Seed = rand.Uint64()
 	}
 	limits(cfg)
-	n, err := node.Start(cfg, deploy, log.WithField("node", cfg.Name))
+	n, err := node.Start(ctx, cfg, deploy, log.WithField("node", cfg.Name))
+	if err != nil && ctx.Err() != nil {
+		log.WithError(err).Info("ended before it served")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/cmd/beammux/serve_test.go
+++ b/cmd/beammux/serve_test.go
@@ -47,6 +47,35 @@
 	return bufio.NewScanner(stderr)
 }
 
+// logged starts the program and reads its JSON log until a message; it gives the line's field "listen".
+func logged(t *testing.T, cmd *exec.Cmd, until string) string {
+	t.Helper()
+	lines := started(t, cmd)
+	for lines.Scan() {
+		var line struct{ Msg, Listen string }
+		if json.Unmarshal(lines.Bytes(), &line) == nil && strings.HasPrefix(line.Msg, until) {
+			go func() {
+				for lines.Scan() {
+				}
+			}()
+			return line.Listen
+		}
+	}
+	t.Fatalf("the program ended before it said %q: %v", until, cmd.Wait())
+	return ""
+}
+
+// ready asks a gatekeeper's operators' address.
+func ready(t *testing.T, addr string) bool {
+	t.Helper()
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + addr + "/api/ready")
+	if err != nil {
+		t.Fatalf("no answer from the operators' address: %v", err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
 // Guards against SIGHUP ending a gatekeeper that is not up yet: it is caught from the first and served once it is up.
 // The configuration is a FIFO, so the test knows when the program reads it.
 func TestSIGHUPBeforeReady(t *testing.T) {
@@ -101,32 +130,15 @@
 	start := func() (*exec.Cmd, string) {
 		cmd := program("serve", "--log-format", "json")
 		cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file, "PROXY_ADMIN_ADDR=127.0.0.1:0")
-		lines := started(t, cmd)
-		for lines.Scan() {
-			var line struct{ Msg, Listen string }
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "operators' address serving" {
-				go func() {
-					for lines.Scan() {
-					}
-				}()
-				return cmd, line.Listen
-			}
-		}
-		t.Fatalf("the program did not start: %v", cmd.Wait())
-		return nil, ""
-	}
-	ready := func(addr string) int {
-		resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + addr + "/api/ready")
-		if err != nil {
-			return 0
+		addr := logged(t, cmd, "operators' address serving")
+		for !ready(t, addr) {
 		}
-		resp.Body.Close()
-		return resp.StatusCode
+		return cmd, addr
 	}
 	old, oldAddr := start()
 	next, nextAddr := start()
-	if ready(oldAddr) != 200 || ready(nextAddr) != 200 {
-		t.Fatalf("ready: old %d, new %d", ready(oldAddr), ready(nextAddr))
+	if !ready(t, oldAddr) || !ready(t, nextAddr) {
+		t.Fatal("not both ready")
 	}
 	old.Process.Signal(syscall.SIGTERM)
 	if err := old.Wait(); err != nil {
--- a/internal/lab/incident.go
+++ b/internal/lab/incident.go
@@ -161,7 +161,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	cfg := &config.Config{Name: "g" + strconv.Itoa(n+1), Listen: "127.0.0.1:0", Seed: i.Seed*100 + uint64(n), Sockets: 512, Site: i.site}
-	g, err := node.Start(cfg, &config.Deploy{Records: &config.Records{Dir: i.Dir}}, log)
+	g, err := node.Start(context.Background(), cfg, &config.Deploy{Records: &config.Records{Dir: i.Dir}}, log)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -117,7 +117,7 @@
 			own = *again
 		}
 		cfg := &config.Config{Name: "g" + strconv.Itoa(i), Listen: "127.0.0.1:0", Seed: o.Seed*100 + uint64(i), Sockets: 512, Site: site}
-		n, err := node.Start(cfg, &own, log)
+		n, err := node.Start(ctx, cfg, &own, log)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -78,7 +78,7 @@
 		if o.Warm {
 			deploy.StoreDir = filepath.Join(dir, strconv.Itoa(i))
 		}
-		n, err := node.Start(&config.Config{Name: nodeName(i), Listen: "127.0.0.1:0", Seed: o.Seed*100 + uint64(i), Sockets: 512, Site: site}, deploy, log)
+		n, err := node.Start(ctx, &config.Config{Name: nodeName(i), Listen: "127.0.0.1:0", Seed: o.Seed*100 + uint64(i), Sockets: 512, Site: site}, deploy, log)
 		if err != nil {
 			return err
 		}
--- a/internal/node/loopback_test.go
+++ b/internal/node/loopback_test.go
@@ -60,7 +60,7 @@
 
 func startNode(t *testing.T, cfg *config.Config, deploy *config.Deploy, log *logrus.Logger) *Node {
 	t.Helper()
-	n, err := Start(cfg, deploy, log)
+	n, err := Start(t.Context(), cfg, deploy, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,13 +105,18 @@
 	return nil, fmt.Errorf("server %s needs the SIP front, which is off", addr)
 }
 
-// Start brings a gatekeeper up. It takes callers once it returns: known servers are loaded by then.
-func Start(cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (_ *Node, err error) {
+// Start brings a gatekeeper up. It takes callers once it returns: known servers are loaded by then. The operators'
+// address opens first, and says not ready until then. Where the store alone holds the list of servers, Start waits for
+// the store as long as that takes, or until the end of begin, whose cause it then returns; nothing else in it waits long.
+func Start(begin context.Context, cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (_ *Node, err error) {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{cfg: cfg, deploy: deploy, log: log, stop: stop, ops: operators{started: time.Now()}}
 	defer func() {
 		if err != nil {
 			stop()
+			if n.ops.server != nil {
+				n.ops.server.Close()
+			}
 			if n.store != nil {
 				n.store.Close()
 			}
@@ -131,9 +136,6 @@
 	if timeout <= 0 {
 		timeout = dialTimeout
 	}
-	if err = n.openStore(); err != nil {
-		return nil, err
-	}
 	recorder, err := n.openRecords()
 	if err != nil {
 		return nil, err
@@ -144,6 +146,12 @@
 	n.core.SetLimits(deploy.Calls)
 	n.calls.Store(deploy.Calls.Version())
 	n.front = jsonl.NewFront(restarted{n.core, n}, cfg.Site.ClassNames, log)
+	if err = n.openOperators(); err != nil {
+		return nil, err
+	}
+	if err = n.openStore(begin); err != nil {
+		return nil, err
+	}
 	d := &dialer{platform: &sip.PlatformDialer{Budget: budget, Timeout: timeout, Classes: cfg.Site.ClassNames,
 		Reports: cfg.Site.ReportNames, Log: log}}
 	if deploy.SIPUDP != "" || deploy.SIPTCP != "" {
@@ -193,13 +201,7 @@
 	go n.remember(ctx)
 	go n.sweep(ctx)
 	go n.listener.Serve(n.front.Serve)
-	if err = n.openOperators(); err != nil {
-		n.listener.Close()
-		if n.agent != nil {
-			n.agent.Close()
-		}
-		return nil, err
-	}
+	n.ops.up.Store(true)
 	log.WithFields(logrus.Fields{"listen": n.Addr(), "calls": deploy.Calls.Version()}).Info("serving")
 	return n, nil
 }
@@ -375,7 +377,7 @@
 
 // ---- Store ----
 
-func (n *Node) openStore() error {
+func (n *Node) openStore(begin context.Context) error {
 	o := store.Options{Node: n.deploy.StoreNode, Dir: n.deploy.StoreDir, Sync: n.deploy.StoreSync,
 		Join: n.deploy.StoreJoin, Log: n.log}
 	if o.Node == "" {
@@ -403,31 +405,53 @@
 	}
 	n.store = s
 	if o.Dir != "" || o.Listener != nil {
-		n.awaitStore(s)
+		if err := n.awaitStore(begin); err != nil {
+			return err
+		}
 	}
 	n.recordConfiguration(n.cfg)
 	return nil
 }
 
-// storeReadyWithin bounds how long a start waits for the store. A group without a majority must not keep a gatekeeper
-// from its callers: past it, the gatekeeper serves with its inventory file and the event bus, and takes the store's
-// records as they are applied.
+// storeReadyWithin bounds how long a start waits for a store that it can serve without. A group without a majority must
+// not keep a gatekeeper from its callers where the inventory file or the event bus names its servers: past it, the
+// gatekeeper serves with those, and takes the store's records as they are applied.
 const storeReadyWithin = 10 * time.Second
 
+const sayEvery = 10 * time.Second // how often a start that goes on waiting says so
+
+// onlyInStore tells whether the store alone can name the gatekeeper's servers: then it holds what the gatekeeper needs.
+func (n *Node) onlyInStore() bool {
+	return n.deploy.Inventory == "" && n.cfg.Bus == "" && len(n.cfg.Known) == 0
+}
+
 // awaitStore holds the start until the member has replayed its log and caught up with a leader, so that `serving` and a
 // yes to /api/ready never come while the store would answer from an older state.
-func (n *Node) awaitStore(s *store.Node) {
+func (n *Node) awaitStore(begin context.Context) error {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), storeReadyWithin)
-	defer cancel()
-	if err := s.WaitReady(ctx); err != nil {
-		n.log.WithError(err).WithField("waited_ms", time.Since(began).Milliseconds()).
-			Warn("store: not ready; serving with the inventory file and the event bus, the store's records follow")
-		return
+	within := storeReadyWithin
+	if n.onlyInStore() {
+		within = time.Second // then it is said, and the wait goes on
+	}
+	for {
+		ctx, cancel := context.WithTimeout(begin, within)
+		err := n.store.WaitReady(ctx)
+		cancel()
+		log := n.log.WithField("waited_ms", time.Since(began).Milliseconds())
+		switch {
+		case err == nil:
+			st := n.store.Status()
+			log.WithFields(logrus.Fields{"records": st.Records, "applied": st.Applied}).Info("store ready")
+			return nil
+		case begin.Err() != nil:
+			return fmt.Errorf("start ended while it waited for the store: %w", context.Cause(begin))
+		case !n.onlyInStore():
+			log.WithError(err).Warn("store: not ready; serving with the inventory file and the event bus, the store's records follow")
+			return nil
+		}
+		log.WithError(err).Warn("store: not ready; the start waits, since it alone holds the list of servers")
+		within = sayEvery
 	}
-	st := s.Status()
-	n.log.WithFields(logrus.Fields{"waited_ms": time.Since(began).Milliseconds(), "records": st.Records, "applied": st.Applied}).
-		Info("store ready")
 }
 
 const storeWithin = 10 * time.Second
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -309,7 +309,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err = Start(cfg, &config.Deploy{SIPUDP: server.Addr("UDP"), Inventory: inv}, log); !errors.Is(err, syscall.EADDRINUSE) {
+	if _, err = Start(t.Context(), cfg, &config.Deploy{SIPUDP: server.Addr("UDP"), Inventory: inv}, log); !errors.Is(err, syscall.EADDRINUSE) {
 		t.Errorf("start ended with %v, want the address in use before the inventory is read", err)
 	}
 	text := fmt.Sprintf("name,address,transport\ns-00000001,%s,udp\n", server.Addr("UDP"))
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"beammux/control"
@@ -15,6 +16,7 @@
 
 // operators holds what the operators' calls change: whether the gatekeeper takes clients. The decisions are drain's.
 type operators struct {
+	up      atomic.Bool // Start is through: callers are taken
 	mu      sync.Mutex
 	drain   drain.Drain
 	started time.Time
@@ -29,7 +31,7 @@
 func (n *Node) Ready() bool {
 	n.ops.mu.Lock()
 	defer n.ops.mu.Unlock()
-	return n.ops.drain.Ready()
+	return n.ops.up.Load() && n.ops.drain.Ready()
 }
 
 // Evacuate implements ops.Gatekeeper: the front's tests fail and connections close once nothing is owed on them.
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -36,6 +36,8 @@
 	settleFor   = 2 * time.Second         // to answer what is open after a message that can't be read
 )
 
+var errClosing = errors.New("connection is being closed")
+
 // Core is the part of the routing core that a front needs.
 type Core interface {
 	Open(routing.Setup, routing.Caller)
@@ -87,13 +89,13 @@
 	for _, c := range conns {
 		switch decide(c.Used(), c.Held(), c.InUse() && !c.Held()) {
 		case drain.Close:
-			c.Finish()
+			c.FinishIdle()
 		case drain.Release:
 			for _, id := range f.standing(c) {
 				f.core.Hangup(id, causeNormal, nil, func(bool) {})
 				c.send(Message{Type: "close", ID: id, Code: causeNormal})
 			}
-			c.Finish()
+			c.FinishIdle()
 		}
 	}
 }
@@ -124,12 +126,15 @@
 	return c.Send(transport.Packet{Data: m.Append(nil)}) == nil
 }
 
-// add notes a set-up.
-func (c *conn) add(k *caller) {
+// add notes a set-up, unless the connection is being closed from this side.
+func (c *conn) add(k *caller) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.Hold() {
+		return false
+	}
 	c.open[k.id] = k
-	c.Hold()
+	return true
 }
 
 // done takes a set-up off the connection that has its end.
@@ -300,7 +305,7 @@
 func (f *Front) take(c *conn, m *Message) error {
 	switch m.Type {
 	case "open":
-		f.open(c, m)
+		return f.open(c, m)
 	case "close":
 		var own routing.Caller
 		if k := c.caller(m.ID); k != nil {
@@ -323,8 +328,10 @@
 }
 
 // open takes a set-up. One that can't be read, and a second one under an id that is open on the connection, are told so:
-// the latter ends the first too, since nothing says which of the two is meant.
-func (f *Front) open(c *conn, m *Message) {
+// the latter ends the first too, since nothing says which of the two is meant. One that crossed the close of its connection
+// gives errClosing and never runs: its caller sees the close and sends it once more, maybe to another process, which knows
+// nothing of a release guard that began here.
+func (f *Front) open(c *conn, m *Message) error {
 	invalid := func() { c.send(Message{Type: "close", ID: m.ID, Code: causeInvalid}) }
 	k := &caller{front: f, conn: c, id: m.ID}
 	if first := c.caller(m.ID); first != nil {
@@ -334,7 +341,7 @@
 				c.done(first)
 			}
 		})
-		return
+		return nil
 	}
 	s, err := f.setup(m)
 	if err != nil {
@@ -344,10 +351,13 @@
 		}
 		f.core.Unreadable(class)
 		invalid()
-		return
+		return nil
+	}
+	if !c.add(k) {
+		return errClosing
 	}
-	c.add(k)
 	f.core.Open(s, k)
+	return nil
 }
 
 // setup reads the fields of a set-up. What a server can't read must not get to it: it would close the connection, and
--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"beammux/control/drain"
 	"beammux/internal/routing"
 	"beammux/internal/transport"
 )
@@ -332,3 +333,40 @@
 		t.Errorf("%d releases wait, at most %d may", n, maxWaiting)
 	}
 }
+
+// A set-up that crosses the close of its connection never runs: its caller sends it once more, to a process that may
+// not know of it. Before, it was read after the close had begun, went to a server and was given up when the
+// connection was gone: the release guard then began in a process that the second copy does not come to.
+func TestSetupThatCrossesACloseNeverRuns(t *testing.T) {
+	b := newBench(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	near, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	c := transport.NewConn(far, nil)
+	go func() { defer close(served); b.front.Serve(c); c.Finish() }()
+	near.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(near, `{"msg":"probe","sid":"`+id+`","attrs":{},"code":0}`+"\n")
+	r := bufio.NewReader(near)
+	b.line(r) // it is served, and idle
+	b.front.Sweep(func(time.Time, bool, bool) drain.Verdict { return drain.Close })
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("after the close began: %v", err)
+	}
+	io.WriteString(near, open(id))
+	<-served
+	if len(b.core.opened) > 0 || len(b.core.withdrawn) > 0 {
+		t.Errorf("the set-up ran: %d taken, %d given up", len(b.core.opened), len(b.core.withdrawn))
+	}
+}
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -82,9 +82,8 @@
 
 // hold keeps the caller's connection from being closed to make room while it is owed an answer.
 func (k *uasCall) hold() {
-	if t, ok := k.flow.(*tcpFlow); ok {
+	if t, ok := k.flow.(*tcpFlow); ok && t.conn.Hold() {
 		k.held = t.conn
-		k.held.Hold()
 	}
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -78,7 +78,17 @@
 }
 
 // Hold notes that something is owed on the connection: it is not closed to make room. Each Hold is ended by one Unhold.
-func (c *Conn) Hold() { c.held.Add(1) }
+// It gives false and notes nothing where this side has already begun to close: what was read since then must not be
+// acted on, since its sender sees the close and sends it again elsewhere.
+func (c *Conn) Hold() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || c.err != nil {
+		return false
+	}
+	c.held.Add(1)
+	return true
+}
 
 // Unhold ends a Hold.
 func (c *Conn) Unhold() {
@@ -249,6 +259,24 @@
 	c.poke()
 }
 
+// FinishIdle is Finish for a connection on which nothing is owed; on any other it does nothing and gives false. It is at
+// one with Hold: either the set-up that crosses the close is held and the connection stays, or Hold refuses it.
+func (c *Conn) FinishIdle() bool {
+	idle := c.endIdle()
+	if idle {
+		c.poke()
+	}
+	return idle
+}
+
+func (c *Conn) endIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.held.Load() == 0
+	c.ending = c.ending || idle
+	return idle
+}
+
 // unfit tells whether the connection is closed, or has something queued that a close would drop.
 func (c *Conn) unfit() bool {
 	c.mu.Lock()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -129,6 +129,9 @@
 	if least == nil {
 		return false
 	}
+	if !least.endIdle() { // a set-up has come on it meanwhile
+		return l.makeRoom()
+	}
 	least.Close()
 	return true
 }
