Hand-over: the new process starts with what the old one learned, through $TMPDIR

Change: without store.dir the memory (internal/node/memory.go, control/warm) is kept in $TMPDIR under the gatekeeper's name, which a hand-over shares and any other start finds empty. TestHandOverStartsWarm fails without it (the second process sends what the first would refuse).

--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net/url"
 	"os"
 	"path/filepath"
 	"time"
@@ -25,6 +26,19 @@
 	memoryEvery = time.Second
 )
 
+// memoryFile is where the memory is kept: beside the store, else in $TMPDIR, which a process that is started beside this
+// one for a hand-over shares (DAYS, replacing the process) and any other start finds empty. "" is nowhere: without a name
+// or $TMPDIR nothing says whose memory it would be.
+func (n *Node) memoryFile() string {
+	switch tmp := os.Getenv("TMPDIR"); {
+	case n.deploy.StoreDir != "":
+		return filepath.Join(n.deploy.StoreDir, memoryFile)
+	case tmp != "" && n.cfg.Name != "":
+		return filepath.Join(tmp, "beammux-"+url.PathEscape(n.cfg.Name)+"-"+memoryFile)
+	}
+	return ""
+}
+
 // settingsName names the settings that something was learned under.
 func settingsName(s *control.Site) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%+v", s.Settings)))
@@ -32,10 +46,10 @@
 
 // recall gives the module what this gatekeeper had learned before it ended, as far as it still counts.
 func (n *Node) recall() {
-	if n.deploy.StoreDir == "" {
+	file := n.memoryFile()
+	if file == "" {
 		return
 	}
-	file := filepath.Join(n.deploy.StoreDir, memoryFile)
 	m, err := readMemory(file)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		n.log.WithError(err).Warn("memory can't be read: started without")
@@ -54,10 +68,10 @@
 
 // remember writes what the module has learned now and then, never on a call's way, and a last time at the end.
 func (n *Node) remember(ctx context.Context) {
-	if n.deploy.StoreDir == "" {
+	file := n.memoryFile()
+	if file == "" {
 		return
 	}
-	file := filepath.Join(n.deploy.StoreDir, memoryFile)
 	name := settingsName(n.cfg.Site)
 	failed := false
 	tick := time.NewTicker(memoryEvery)
@@ -84,16 +98,18 @@
 }
 
 // writeMemory replaces the file whole: its checksum in a line, then JSON. It is not synced, since it counts for seconds.
+// Two processes may write at the same time during a hand-over: each has a new file of its own until it is renamed.
 func writeMemory(file string, m *warm.Memory) error {
 	text, err := json.Marshal(m)
 	if err != nil {
 		return err
 	}
 	text = append(fmt.Appendf(nil, "%016x\n", xxhash.Sum64(text)), text...)
-	if err := os.WriteFile(file+".new", text, 0o600); err != nil {
+	fresh := fmt.Sprintf("%s.new%d", file, os.Getpid())
+	if err := os.WriteFile(fresh, text, 0o600); err != nil {
 		return err
 	}
-	return os.Rename(file+".new", file)
+	return os.Rename(fresh, file)
 }
 
 func readMemory(file string) (*warm.Memory, error) {
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -102,3 +102,36 @@
 		}
 	}
 }
+
+// A process that is started beside another for a hand-over, with the same name and $TMPDIR and no store, starts with what
+// the other had learned: a set-up to the server that it knew as overloaded is refused at once.
+func TestHandOverStartsWarm(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	server := siptest.New(t, slowly(0))
+	inv := filepath.Join(t.TempDir(), "servers.csv")
+	if err := os.WriteFile(inv, []byte("name,address\ns-00000007,"+server.Addr("TCP")+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []string{"ready", "close"} {
+		cfg, err := config.Load(testConfig(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Name = "n/1"
+		log, _ := logtest.NewNullLogger()
+		n := startNode(t, cfg, &config.Deploy{Inventory: inv}, log)
+		answers := make(chan string, 9)
+		open(dialJSON(t, n, func(m map[string]any) { answers <- fmt.Sprint(m["msg"]) }), "0000000000000001", "1", 3000)
+		if got := <-answers; got != want {
+			t.Errorf("process %d: %s, want %s", i, got, want)
+		}
+		if i == 0 { // what the first is taken to have learned since
+			m := &warm.Memory{Settings: settingsName(cfg.Site), Learned: control.Learned{At: n.core.Now(), Base: 20000,
+				Servers: []control.LearnedServer{{Server: 7, Wait: 3e6, Spare: -1}}}}
+			n.stop() // it writes no more
+			if err := writeMemory(n.memoryFile(), m); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
