Store: a member reaches others through forwarded addresses (store.via) and advertises its own

Also a defect: followers learned the leader's listening address, which is no address where it listens on a wildcard or a forwarded port. `store listening` in the log names the listener. TestBadFiles has its row.

--- a/internal/config/calls_test.go
+++ b/internal/config/calls_test.go
@@ -105,6 +105,7 @@
 	{formOnly, `{"store":{"dir":3}}`, `1:11: store.dir: is a number, must be a string`},
 	{formOnly, `{"store":{"dir":"d","sync":"allways"}}`, `1:21: store.sync: "allways" is neither always nor interval; did you mean "always"?`},
 	{formOnly, `{"store":{"sync":"always"}}`, `1:11: store.sync: says how dir is written, and dir is missing`},
+	{formOnly, `{"store":{"via":[{"address":"a:1"}]}}`, `1:18: store.via[0]: address or through is missing`},
 	{formOnly, `{"store":{"join":1}}`, `1:11: store.join: is a number, must be true or false`},
 	{formOnly, `{"store":{"join":true}}`, `1:2: store.listen: missing beside join`},
 	{formOnly, `{"records":{}}`, `1:2: records: dir is missing`},
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -25,13 +25,14 @@
 	StoreNode      string
 	StoreListen    string
 	StorePeers     []StorePeer
-	StoreDir       string        // where the store keeps its files; empty: in memory
-	StoreSync      string        // always or interval
-	StoreJoin      bool          // this member is new to a group that runs
-	Inventory      string        // file of servers
-	Calls          *retry.Policy // nil: as the settings say
-	Records        *Records      // nil: off
-	Console        string        // socket where staff may watch with the console,, unix:PATH or HOST:PORT on loopback; empty: off
+	StoreDir       string            // where the store keeps its files; empty: in memory
+	StoreSync      string            // always or interval
+	StoreVia       map[string]string // where this member reaches others, by their addresses in the group
+	StoreJoin      bool              // this member is new to a group that runs
+	Inventory      string            // file of servers
+	Calls          *retry.Policy     // nil: as the settings say
+	Records        *Records          // nil: off
+	Console        string            // socket where staff may watch with the console,, unix:PATH or HOST:PORT on loopback; empty: off
 
 	file  *jsonfile.File // nil where there is no file
 	calls *retry.File    // nil without the section
@@ -113,7 +114,7 @@
 
 func (d *Deploy) store(v *jsonfile.Value) {
 	f := d.file
-	store := f.Members(v, "node", "listen", "peers", "dir", "sync", "join")
+	store := f.Members(v, "node", "listen", "peers", "dir", "sync", "join", "via")
 	d.StoreNode, d.StoreListen, d.StoreDir, d.StoreSync = f.String(store[0]), f.String(store[1]), f.String(store[3]), f.String(store[4])
 	if d.StoreJoin, _ = f.Bool(store[5]); d.StoreJoin && d.StoreListen == "" {
 		f.Fault("store.listen", "missing beside join")
@@ -125,6 +126,11 @@
 			f.Fault(s.Path, "says how dir is written, and dir is missing")
 		}
 	}
+	if f.Is(store[6], jsonfile.Array) {
+		for _, item := range store[6].Items {
+			d.via(item)
+		}
+	}
 	if !f.Is(store[2], jsonfile.Array) {
 		return
 	}
@@ -144,6 +150,27 @@
 	}
 }
 
+// via reads one member's address and where this one reaches it.
+func (d *Deploy) via(item *jsonfile.Value) {
+	f := d.file
+	if !f.Is(item, jsonfile.Object) {
+		return
+	}
+	m := f.Members(item, "address", "through")
+	address, through := f.String(m[0]), f.String(m[1])
+	if address == "" || through == "" {
+		f.Fault(item.Path, "address or through is missing")
+		return
+	}
+	if _, again := d.StoreVia[address]; again {
+		f.Fault(item.Path, fmt.Sprintf("%q stands twice", address))
+	}
+	if d.StoreVia == nil {
+		d.StoreVia = map[string]string{}
+	}
+	d.StoreVia[address] = through
+}
+
 // Bounds of the figures in the file. Those of the deployment are narrower; the proof knows them.
 const (
 	mostAttempts = 100
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -379,7 +379,7 @@
 
 func (n *Node) openStore(begin context.Context) error {
 	o := store.Options{Node: n.deploy.StoreNode, Dir: n.deploy.StoreDir, Sync: n.deploy.StoreSync,
-		Join: n.deploy.StoreJoin, Log: n.log}
+		Join: n.deploy.StoreJoin, Via: n.deploy.StoreVia, Log: n.log}
 	if o.Node == "" {
 		o.Node = n.cfg.Name
 	}
@@ -395,6 +395,7 @@
 			return err
 		}
 		o.Listener = l
+		n.log.WithField("listen", l.Addr().String()).Info("store listening")
 	}
 	s, err := store.Open(o)
 	if err != nil {
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -42,7 +42,10 @@
 	Join     bool         // this node is new to a group that runs: it waits to be added, and makes none of its own
 	Dir      string       // where log and snapshots are kept; "": in memory, and lost with a majority of the members
 	Sync     string       // with Dir: SyncAlways (if empty) or SyncInterval
-	Log      logrus.FieldLogger
+	// Via gives, for an address of a member, the one at which this node reaches it: a port that is forwarded, or a relay.
+	// Members that are not in it are reached at their own.
+	Via map[string]string
+	Log logrus.FieldLogger
 }
 
 // What a write waits for, with Options.Dir. Neither loses anything when a process is killed. When the machine fails,
@@ -69,7 +72,8 @@
 	layer   *streamLayer
 	trans   io.Closer
 	journal *journal.Journal // nil: in memory
-	ready   chan struct{}    // closed once raft is there: connections may come before
+	via     map[string]string
+	ready   chan struct{} // closed once raft is there: connections may come before
 	logs    raft.LogStore
 	replay  uint64      // the last index of the log as it was opened: what must be applied to be ready
 	caught  atomic.Bool // Ready has been true
@@ -84,7 +88,7 @@
 	c.CommitTimeout = 10 * time.Millisecond
 	c.ShutdownOnRemove = false
 	c.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Output: logWriter{o.Log}, Level: hclog.Warn, DisableTime: true})
-	n := &Node{id: o.Node, fsm: newMachine(), ready: make(chan struct{})}
+	n := &Node{id: o.Node, fsm: newMachine(), via: o.Via, ready: make(chan struct{})}
 	servers := []raft.Server{{ID: c.LocalID, Address: raft.ServerAddress(o.Node)}}
 	var trans raft.Transport
 	if len(o.Peers) == 0 && !o.Join {
@@ -95,15 +99,17 @@
 			return nil, errors.New("store: a node with peers, or one that joins, must listen")
 		}
 		servers = nil
-		own := o.Join
+		own, advertised := o.Join, ""
 		for _, p := range o.Peers {
-			own = own || p.Node == o.Node
+			if p.Node == o.Node {
+				own, advertised = true, p.Address
+			}
 			servers = append(servers, raft.Server{ID: raft.ServerID(p.Node), Address: raft.ServerAddress(p.Address)})
 		}
 		if !own {
 			return nil, fmt.Errorf("store: node %q is not among its peers", o.Node)
 		}
-		n.layer = newStreamLayer(o.Listener, n.serve)
+		n.layer = newStreamLayer(o.Listener, n.serve, advertised, o.Via)
 		net := raft.NewNetworkTransportWithLogger(n.layer, 3, applyWithin, c.Logger)
 		trans, n.trans = net, net
 	}
@@ -300,7 +306,15 @@
 	if addr == "" || n.layer == nil {
 		return result{}, ErrNoLeader
 	}
-	return forward(ctx, string(addr), data)
+	return forward(ctx, through(n.via, string(addr)), data)
+}
+
+// through is where a member's address is reached.
+func through(via map[string]string, addr string) string {
+	if to, ok := via[addr]; ok {
+		return to
+	}
+	return addr
 }
 
 func (n *Node) commit(data []byte) (result, error) {
@@ -396,10 +410,12 @@
 // streamLayer shares one listener between raft and forwarded commands: the first byte tells them apart.
 type streamLayer struct {
 	net.Listener
-	raft  chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-	serve func(net.Conn)
+	advertised string // this member's address as the group knows it; "": the listener's
+	via        map[string]string
+	raft       chan net.Conn
+	done       chan struct{}
+	once       sync.Once
+	serve      func(net.Conn)
 }
 
 const (
@@ -407,8 +423,8 @@
 	forwardByte = 'F'
 )
 
-func newStreamLayer(l net.Listener, serve func(net.Conn)) *streamLayer {
-	s := &streamLayer{Listener: l, raft: make(chan net.Conn), done: make(chan struct{}), serve: serve}
+func newStreamLayer(l net.Listener, serve func(net.Conn), advertised string, via map[string]string) *streamLayer {
+	s := &streamLayer{Listener: l, advertised: advertised, via: via, raft: make(chan net.Conn), done: make(chan struct{}), serve: serve}
 	go s.run()
 	return s
 }
@@ -453,6 +469,20 @@
 	}
 }
 
+// Addr implements raft.StreamLayer: followers learn by it where their leader is.
+func (s *streamLayer) Addr() net.Addr {
+	if s.advertised == "" {
+		return s.Listener.Addr()
+	}
+	return named(s.advertised)
+}
+
+// named is an address as the group knows it, which need not be one of this machine.
+type named string
+
+func (named) Network() string  { return "tcp" }
+func (n named) String() string { return string(n) }
+
 // Close implements raft.StreamLayer.
 func (s *streamLayer) Close() error {
 	s.once.Do(func() { close(s.done) })
@@ -461,7 +491,7 @@
 
 // Dial implements raft.StreamLayer.
 func (s *streamLayer) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", string(addr), timeout)
+	c, err := net.DialTimeout("tcp", through(s.via, string(addr)), timeout)
 	if err != nil {
 		return nil, err
 	}
