--- a/internal/lab/incident.go
+++ b/internal/lab/incident.go
@@ -203,10 +203,7 @@
 		return
 	}
 	fresh := i.servers[len(i.servers)-1]
-	fresh.Slow(1 / 0.33)
-	for step := range 10 { // warm within 5 s
-		time.AfterFunc(time.Duration(step+1)*500*time.Millisecond, func() { fresh.Slow(1 / (0.33 + 0.067*float64(step+1))) })
-	}
+	fresh.Cold(0.33, 5*time.Second)
 	i.change(func() { i.hosts[at].state = "removed" })
 }
 
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -76,6 +76,8 @@
 "extra":{"here":-1,"release-guard-us":300000,"t1-us":500000},"guarantees":{"fall-multiple":2,"fall-us":1000000,
 "start-capacity":0.33,"warm-within-us":15000000},"report":{"fields":["busy","q"]}}`
 
+func fmtSettings(gatekeepers int) string { return fmt.Sprintf(settings, gatekeepers) }
+
 // work is that of the platform's figures, at 20 calls a second for each server.
 var work = Work{Setup: 32 * time.Millisecond, Answer: 0.35, Release: 0.2, Refuse: 0.2, Repeat: 0.4, Full: 3 * time.Second,
 	Resend: 500 * time.Millisecond}
@@ -150,18 +152,47 @@
 
 	mu      sync.Mutex
 	next    int
+	waits   int // redials that wait
 	calls   map[string]*try
 	delays  *hdrhistogram.Histogram
 	out     *Outcome
 	offered map[string]float64
 	served  map[string]float64
 	slow    [2]float64 // offered and served of calls that began while servers were slow
+
+	pick func(*rand.Rand) (home, dest int) // a first call's gatekeeper and first choice; nil: any
+	seen func(Seen)                        // nil: nobody
+	past map[string]SeenKind               // final answers of tries that are over, kept while somebody hears of them
+}
+
+// tell is called with the lock held.
+func (d *day) tell(s Seen) {
+	if d.seen != nil {
+		s.At = time.Now()
+		d.seen(s)
+	}
+}
+
+// final notes the final answer of a try, and tells whether it is the first. The lock is held.
+func (d *day) final(k *try, id string, kind SeenKind, body string) bool {
+	if d.seen == nil {
+		return true
+	}
+	if was, again := d.past[id]; again && (was != Stood || kind == Stood) {
+		d.tell(Seen{Kind: SecondAnswer, Call: id, Gatekeeper: k.at, Body: kind.String()})
+		return false
+	}
+	d.past[id] = kind
+	d.tell(Seen{Kind: kind, Call: id, Gatekeeper: k.at, Body: body})
+	return true
 }
 
 // callers are those of one gatekeeper. They share a connection, nil while the gatekeeper is down.
 type callers struct {
-	mu   sync.Mutex
-	conn net.Conn
+	mu     sync.Mutex
+	conn   net.Conn
+	fit    bool      // the last test passed
+	passed time.Time // when one last did
 }
 
 // happening is something that is done at a time of the day.
@@ -182,9 +213,9 @@
 		return err
 	}
 	d.conns[i].mu.Lock()
-	d.conns[i].conn = c
+	d.conns[i].conn, d.conns[i].fit, d.conns[i].passed = c, true, time.Now().Add(time.Hour) // not tested
 	d.conns[i].mu.Unlock()
-	go d.read(c)
+	go d.read(c, nil)
 	return nil
 }
 
@@ -218,6 +249,8 @@
 	*caller
 	over  *time.Timer
 	stood bool
+	at    int      // gatekeeper, -1 while none was up
+	conn  net.Conn // that it went on
 }
 
 func (d *day) play(ctx context.Context, servers int, happenings []happening) {
@@ -236,10 +269,7 @@
 		case <-ctx.Done():
 			return
 		case <-end:
-			select {
-			case <-ctx.Done():
-			case <-time.After(2 * tryFor): // what is open ends
-			}
+			d.settle(ctx)
 			return
 		case <-time.After(time.Until(at)):
 		}
@@ -249,6 +279,9 @@
 			k++
 		}
 		c := &caller{class: k, began: time.Now(), key: strconv.FormatUint(rng.Uint64(), 16), dest: rng.IntN(servers), home: rng.IntN(len(d.conns))}
+		if d.pick != nil {
+			c.home, c.dest = d.pick(rng)
+		}
 		d.mu.Lock()
 		d.out.First++
 		d.offered[classes[k].name] += classes[k].worth
@@ -260,6 +293,30 @@
 	}
 }
 
+// settle lets what is open end: the last redials are over by twice a try's time.
+func (d *day) settle(ctx context.Context) {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(2 * tryFor); time.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		d.mu.Lock()
+		open := d.waits
+		for _, k := range d.calls {
+			if !k.stood {
+				open++
+			}
+		}
+		d.mu.Unlock()
+		if open == 0 {
+			return
+		}
+	}
+}
+
 func (d *day) inSlow(at time.Time) bool {
 	since := at.Sub(d.began)
 	return since >= d.SlowFrom && since < d.SlowFrom+d.SlowFor
@@ -270,7 +327,7 @@
 	d.mu.Lock()
 	d.next++
 	id := fmt.Sprintf("%016x", d.next)
-	k := &try{caller: c}
+	k := &try{caller: c, at: -1}
 	d.calls[id] = k
 	d.out.Tries++
 	c.tries++
@@ -280,6 +337,7 @@
 		if d.calls[id] == k && !k.stood {
 			d.out.Unanswered++
 			delete(d.calls, id)
+			d.tell(Seen{Kind: Unanswered, Call: id, Gatekeeper: k.at})
 			d.redial(c, 0)
 		}
 	})
@@ -287,17 +345,23 @@
 	m := jsonl.Message{Type: "open", ID: id, Text: "offer\r\n", Attrs: map[string]string{"class": classes[c.class].name,
 		"left": strconv.FormatInt(tryFor.Milliseconds(), 10), "key": c.key, "extras": fmt.Sprintf("dest:%d;width:1", c.dest)}}
 	for i := range d.conns { // the first that is up
-		to := d.conns[(at+i)%len(d.conns)]
+		g := (at + i) % len(d.conns)
+		to := d.conns[g]
 		to.mu.Lock()
-		c := to.conn
-		if c != nil {
-			c.Write(m.Append(nil))
-		}
-		to.mu.Unlock()
-		if c != nil {
+		if conn := to.conn; to.usable() {
+			d.mu.Lock()
+			k.at, k.conn = g, conn
+			d.tell(Seen{Kind: Tried, Call: id, Gatekeeper: g, Class: classes[c.class].name, Span: tryFor})
+			d.mu.Unlock()
+			to.mu.Unlock()
+			to.write(conn, m.Append(nil))
 			return
 		}
+		to.mu.Unlock()
 	}
+	d.mu.Lock()
+	d.tell(Seen{Kind: Unsent, Call: id, Gatekeeper: -1})
+	d.mu.Unlock()
 }
 
 // redial tries again after a wait, if the caller still does. The lock is held.
@@ -308,15 +372,25 @@
 	if c.tries > redials || time.Since(c.began)+wait > giveUp-tryFor || time.Since(d.began)+wait > d.Length {
 		return
 	}
-	time.AfterFunc(wait, func() { d.dial(c, (c.home+c.tries)%len(d.conns)) })
+	d.waits++
+	time.AfterFunc(wait, func() {
+		d.dial(c, (c.home+c.tries)%len(d.conns))
+		d.mu.Lock()
+		d.waits--
+		d.mu.Unlock()
+	})
 }
 
-func (d *day) read(conn net.Conn) {
+// read hears what comes on a connection until it ends; other, if not nil, is shown each message first and may take it.
+func (d *day) read(conn net.Conn, other func(jsonl.Message) bool) {
 	for r := jsonl.NewReader(bufio.NewReaderSize(conn, jsonl.MaxMessage)); ; {
 		m, err := r.Next()
 		if err != nil {
 			return
 		}
+		if other != nil && other(m) {
+			continue
+		}
 		d.heard(m)
 	}
 }
@@ -326,11 +400,17 @@
 	defer d.mu.Unlock()
 	k := d.calls[m.ID]
 	if k == nil {
+		if _, over := d.past[m.ID]; over && m.Type == "ready" || over && m.Type == "close" && d.past[m.ID] != Stood {
+			d.tell(Seen{Kind: SecondAnswer, Call: m.ID, Gatekeeper: -1, Body: m.Type})
+		}
 		return
 	}
 	switch {
-	case m.Type == "ready" && !k.stood:
+	case m.Type == "ready" && k.stood:
+		d.final(k, m.ID, Stood, m.Text)
+	case m.Type == "ready":
 		k.over.Stop()
+		d.final(k, m.ID, Stood, m.Text)
 		k.stood = true
 		took := time.Since(k.began)
 		d.delays.RecordValue(took.Milliseconds())
@@ -347,12 +427,15 @@
 		delete(d.calls, m.ID)
 		k.over.Stop()
 		if k.stood {
+			d.tell(Seen{Kind: Ended, Call: m.ID, Gatekeeper: k.at})
 			return
 		}
 		if m.Code == 34 {
 			d.out.Refused++
+			d.final(k, m.ID, Refused, "")
 		} else {
 			d.out.Failed++
+			d.final(k, m.ID, Failed, "")
 		}
 		wait, _ := strconv.Atoi(m.Attrs["wait"])
 		d.redial(k.caller, time.Duration(wait)*time.Millisecond)
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -34,16 +34,25 @@
 	ln   net.Listener
 	work Work
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	slow   float64   // factor of all work
-	free   time.Time // when the processor has done all that is queued
-	queued int
-	calls  map[string]*served
-	shown  string // report, measured every half second
-	shot   time.Time
-	worked time.Duration // since the report was measured
-	conns  []net.Conn
+	mu      sync.Mutex
+	rng     *rand.Rand
+	slow    float64   // factor of all work
+	free    time.Time // when the processor has done all that is queued
+	queued  int
+	calls   map[string]*served
+	shown   string // report, measured every half second
+	shot    time.Time
+	worked  time.Duration // since the report was measured
+	conns   []net.Conn
+	lines   []func(*sip.Message) // of the open connections, oldest first
+	lineOf  map[net.Conn]int     // place in lines
+	ends    map[net.Conn]func()  // ends what writes to a connection
+	unasked bool                 // the state is told unasked
+
+	hear  func(Seen) // nil: nobody
+	cold  time.Time  // started cold then; zero: warm
+	start float64    // part of its capacity that it has then
+	warm  time.Duration
 
 	setups, wasted int             // that arrived; that were worked on after they had been given up
 	full           int             // that were turned away
@@ -51,6 +60,7 @@
 }
 
 type served struct {
+	conn   net.Conn
 	back   func(*sip.Message)
 	invite *sip.Message
 	stands bool
@@ -63,7 +73,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, work: work, rng: rand.New(rand.NewPCG(seed, 1)), slow: 1, calls: map[string]*served{}, ids: map[string]bool{}, shot: time.Now()}
+	s := &Server{ln: ln, work: work, rng: rand.New(rand.NewPCG(seed, 1)), slow: 1, calls: map[string]*served{}, ids: map[string]bool{}, shot: time.Now(),
+		ends: map[net.Conn]func(){}, lineOf: map[net.Conn]int{}}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -82,6 +93,86 @@
 // Addr is where the server listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
+// Hear lets f know of what comes and of what is answered, in order and with the server's lock held: f must not call the
+// server. It is called before any caller is.
+func (s *Server) Hear(f func(Seen)) {
+	s.mu.Lock()
+	s.hear = f
+	s.mu.Unlock()
+}
+
+// tell is called with the lock held.
+func (s *Server) tell(kind SeenKind, call string) {
+	if s.hear != nil {
+		s.hear(Seen{At: time.Now(), Kind: kind, Call: call})
+	}
+}
+
+// Cold lets the server begin now with a part of its capacity, and get the rest evenly within a time.
+func (s *Server) Cold(start float64, within time.Duration) {
+	s.mu.Lock()
+	s.cold, s.start, s.warm = time.Now(), start, within
+	s.mu.Unlock()
+}
+
+// factor is how many times longer than on a warm and untroubled server work takes now. The lock is held.
+func (s *Server) factor() float64 {
+	f := s.slow
+	if age := time.Since(s.cold); !s.cold.IsZero() && age < s.warm {
+		f /= s.start + (1-s.start)*age.Seconds()/s.warm.Seconds()
+	}
+	return f
+}
+
+// Status tells the server's state every so often on its connections, four at most, and at once on each new one, until ended.
+func (s *Server) Status(every time.Duration) (end func()) {
+	s.mu.Lock()
+	s.unasked = true
+	s.mu.Unlock()
+	tick, done := time.NewTicker(every), make(chan struct{})
+	go func() {
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			s.mu.Lock()
+			lines := s.lines[:min(len(s.lines), 4)]
+			m := s.state()
+			s.mu.Unlock()
+			for _, l := range lines {
+				l(m)
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(done) })
+}
+
+func (s *Server) state() *sip.Message {
+	return sip.Request("NOTIFY", "sip:peer").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", "0000000000000000").
+		Set("CSeq", "1 NOTIFY").Set("X-Occupancy", s.report())
+}
+
+// Kill ends the server as the death of its process does: connections are reset and every call is cut.
+func (s *Server) Kill() {
+	s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, k := range s.calls {
+		k.gone = true
+		s.tell(ServerCut, id)
+	}
+	s.calls = map[string]*served{}
+	for _, c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
 // Slow makes all work that comes now take so many times longer.
 func (s *Server) Slow(factor float64) {
 	s.mu.Lock()
@@ -113,22 +204,84 @@
 
 func (s *Server) serve(c net.Conn) {
 	defer c.Close()
-	var write sync.Mutex
-	back := func(m *sip.Message) {
-		write.Lock()
-		defer write.Unlock()
-		c.Write(m.Append(nil))
-	}
+	back := s.line(c)
+	defer s.giveUp(c)
 	for r := sip.NewReader(bufio.NewReaderSize(c, sip.MaxMessage)); ; {
 		m, err := r.Next()
 		if err != nil {
 			return
 		}
-		s.take(m, back)
+		s.take(m, c, back)
 	}
 }
 
-func (s *Server) take(m *sip.Message, back func(*sip.Message)) {
+const backMost = 1024 // messages that wait to be written to one connection
+
+// line gives what writes to a connection. It never blocks: one that takes nothing more is closed.
+func (s *Server) line(c net.Conn) func(*sip.Message) {
+	out := make(chan []byte, backMost)
+	go func() {
+		for b := range out {
+			if _, err := c.Write(b); err != nil {
+				c.Close()
+			}
+		}
+	}()
+	var mu sync.Mutex
+	closed := false
+	back := func(m *sip.Message) {
+		b := m.Append(nil)
+		mu.Lock()
+		defer mu.Unlock()
+		if closed {
+			return
+		}
+		select {
+		case out <- b:
+		default:
+			c.Close()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, back)
+	if s.unasked {
+		back(s.state())
+	}
+	s.ends[c] = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		closed = true
+		close(out)
+	}
+	s.lineOf[c] = len(s.lines) - 1
+	return back
+}
+
+// giveUp ends what a connection that is closed leaves: the set-ups open on it are given up, and calls that stand stay
+// (PROTOCOL, gatekeepers to menu servers).
+func (s *Server) giveUp(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.lineOf[c]
+	s.lines = append(s.lines[:at:at], s.lines[at+1:]...)
+	delete(s.lineOf, c)
+	for o, i := range s.lineOf {
+		if i > at {
+			s.lineOf[o] = i - 1
+		}
+	}
+	s.ends[c]()
+	delete(s.ends, c)
+	for id, k := range s.calls {
+		if k.conn == c && !k.stands && !k.gone {
+			k.gone = true
+			s.tell(ServerGivenUp, id)
+		}
+	}
+}
+
+func (s *Server) take(m *sip.Message, c net.Conn, back func(*sip.Message)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := m.Get("Call-ID")
@@ -137,12 +290,14 @@
 	case "INVITE":
 		s.setups++
 		s.ids[id] = true
-		k = &served{back: back, invite: m}
+		k = &served{conn: c, back: back, invite: m}
 		s.calls[id] = k
+		s.tell(ServerSetup, id)
 		if time.Until(s.free) > s.work.Full {
 			s.full++
 			s.do(s.work.Refuse, func() {
 				s.drop(id, k)
+				s.tell(ServerFull, id)
 				back(s.reply(m, 503).Set("X-Diagnosis", "acc"))
 			})
 			return
@@ -154,6 +309,9 @@
 		}
 	case "CANCEL", "BYE":
 		if k != nil {
+			if !k.gone && !k.stands {
+				s.tell(ServerGivenUp, id)
+			}
 			k.gone = true
 			if k.stands {
 				s.drop(id, k)
@@ -171,7 +329,7 @@
 
 // do queues work, measured in set-ups, and runs then (with the lock held) when it is done.
 func (s *Server) do(setups float64, then func()) {
-	cost := time.Duration(setups * s.slow * float64(s.work.Setup))
+	cost := time.Duration(setups * s.factor() * float64(s.work.Setup))
 	if now := time.Now(); s.free.Before(now) {
 		s.free = now
 	}
@@ -196,7 +354,8 @@
 	}
 	k.stands = true
 	r := s.reply(k.invite, 200)
-	r.Body = []byte("stands\r\n")
+	r.Body = fmt.Appendf(nil, "stands %s\r\n", id)
+	s.tell(ServerAnswered, id)
 	k.back(r)
 	hold := time.Duration(s.rng.ExpFloat64() * float64(8*time.Second))
 	time.AfterFunc(hold, func() {
@@ -207,12 +366,20 @@
 				return
 			}
 			s.drop(id, k)
-			k.back(sip.Request("BYE", "sip:peer").Set("Via", k.invite.Get("Via")).Set("Call-ID", id).Set("CSeq", "2 BYE").
+			s.any(k.back, k.conn)(sip.Request("BYE", "sip:peer").Set("Via", k.invite.Get("Via")).Set("Call-ID", id).Set("CSeq", "2 BYE").
 				Set("Reason", "Q.850;cause=16").Set("X-Occupancy", s.report()))
 		})
 	})
 }
 
+// any gives the connection of a set-up, or any other where that is closed: no connection owns a call that stands.
+func (s *Server) any(own func(*sip.Message), c net.Conn) func(*sip.Message) {
+	if _, open := s.lineOf[c]; open || len(s.lines) == 0 {
+		return own
+	}
+	return s.lines[0]
+}
+
 func (s *Server) reply(m *sip.Message, status int) *sip.Message {
 	return sip.Respond(m, status, "Final").Set("X-Occupancy", s.report())
 }
