Fleetcheck: judge a fleet's run by callers, servers, processes, logs and records

Rules: one final answer for each caller, served only what a server answered, no set-up to a server held at level 2, no process ends by itself, no panic or missed decision in a log, and the five rules of package history on the records. Trouble at a gatekeeper or on its callers' way excuses, trouble behind it does not. Time to settle after each fault. Tests go just in and just out of each figure.

--- /dev/null
+++ b/control/fleetcheck/fleetcheck_test.go
@@ -0,0 +1,220 @@
+package fleetcheck
+
+import (
+	"testing"
+
+	"beammux/control"
+	"beammux/control/history"
+)
+
+const ms = control.Micros(1000)
+
+// course is a run of one call, c, sent to g1 at 1 s with 1 s to be answered; what is added is merged by time.
+func judge(t *testing.T, events ...Event) *Result {
+	t.Helper()
+	c := New("front-", nil)
+	for i := range events {
+		e := events[i]
+		if i > 0 && e.At < events[i-1].At {
+			t.Fatalf("event %d is out of order", i)
+		}
+		c.Event(&e)
+	}
+	return c.Result()
+}
+
+func find(t *testing.T, r *Result, rule string) Finding {
+	t.Helper()
+	for _, f := range r.Findings {
+		if f.Rule == rule {
+			return f
+		}
+	}
+	t.Fatalf("no finding of %q", rule)
+	return Finding{}
+}
+
+func at(when control.Micros, kind Kind, process string) Event {
+	return Event{At: when * ms, Kind: kind, Process: process, Place: Place{"f", int(when)}}
+}
+
+func called(when control.Micros, kind Kind, what string) Event {
+	e := at(when, kind, "g1")
+	e.Call, e.What = "c", what
+	if kind == Tried {
+		e.Span = 1000 * ms
+	}
+	return e
+}
+
+func way(when control.Micros, kind Kind, from, to string) Event {
+	e := at(when, kind, from)
+	e.Peer = to
+	return e
+}
+
+// Each rule is judged just in and just out of its figures, and what excuses is told from what does not.
+func TestVerdicts(t *testing.T) {
+	ready, tried := at(0, Ready, "g1"), called(1000, Tried, "")
+	given := at(1100, Given, "s1")
+	given.Call, given.What = "c", "d"
+	errorLine := at(1500, Logged, "g1")
+	errorLine.Level, errorLine.What = "error", "no decision by the deadline: call failed"
+	panicLine := at(1500, Logged, "g1")
+	panicLine.Level, panicLine.What = "panic", "panic: x"
+	for name, row := range map[string]struct {
+		rule    string
+		broken  int
+		excused int
+		events  []Event
+	}{
+		"served":                 {RuleServed, 0, 0, []Event{ready, tried, given, called(1200, Stood, "d")}},
+		"served by none":         {RuleServed, 1, 0, []Event{ready, tried, called(1200, Stood, "d")}},
+		"served another's":       {RuleServed, 1, 0, []Event{ready, tried, given, called(1200, Stood, "e")}},
+		"two answers":            {RuleFinal, 1, 0, []Event{ready, tried, called(1200, Refused, ""), called(1300, Failed, "")}},
+		"told twice":             {RuleFinal, 1, 0, []Event{ready, tried, called(1200, Refused, ""), called(1300, Second, "ready")}},
+		"to nobody's call":       {RuleFinal, 1, 0, []Event{ready, called(1200, Refused, "")}},
+		"in time":                {RuleFinal, 0, 0, []Event{ready, tried, called(2150, Refused, "")}},
+		"late":                   {RuleFinal, 1, 0, []Event{ready, tried, called(2151, Refused, "")}},
+		"never":                  {RuleFinal, 1, 0, []Event{ready, tried, called(2200, Expired, "")}},
+		"never, killed":          {RuleFinal, 0, 1, []Event{ready, tried, at(1500, Stopped, "g1"), called(2200, Expired, "")}},
+		"never, another killed":  {RuleFinal, 1, 0, []Event{ready, tried, at(1500, Stopped, "g2"), called(2200, Expired, "")}},
+		"never, killed before":   {RuleFinal, 1, 0, []Event{ready, at(100, Stopped, "g1"), at(500, Ready, "g1"), tried, called(2200, Expired, "")}},
+		"never, just back":       {RuleFinal, 0, 1, []Event{ready, at(100, Stopped, "g1"), at(800, Ready, "g1"), tried, called(2200, Expired, "")}},
+		"never, paused":          {RuleFinal, 0, 1, []Event{ready, tried, at(1500, Paused, "g1"), at(1600, Woken, "g1"), called(2200, Expired, "")}},
+		"never, callers cut":     {RuleFinal, 0, 1, []Event{ready, tried, way(1500, Troubled, "g1", "front-a"), way(1600, Healed, "g1", "front-a"), called(2200, Expired, "")}},
+		"never, servers cut":     {RuleFinal, 1, 0, []Event{ready, tried, way(1500, Troubled, "g1", "s1"), way(1600, Healed, "g1", "s1"), called(2200, Expired, "")}},
+		"never, cut and healed":  {RuleFinal, 1, 0, []Event{ready, way(500, Troubled, "front-a", "g1"), way(600, Healed, "front-a", "g1"), tried, called(2200, Expired, "")}},
+		"connection ended":       {RuleFinal, 1, 0, []Event{ready, tried, called(1051, Broken, "")}},
+		"crossed the close":      {RuleFinal, 0, 0, []Event{ready, tried, called(1050, Broken, "")}},
+		"asked, owed":            {RuleFinal, 1, 0, []Event{ready, at(400, Asked, "g1"), tried, called(2200, Expired, "")}},
+		"asked, too late":        {RuleFinal, 0, 1, []Event{ready, at(299, Asked, "g1"), tried, called(2200, Expired, "")}},
+		"asked, and up again":    {RuleFinal, 1, 0, []Event{ready, at(100, Asked, "g1"), at(200, Stopped, "g1"), at(400, Ready, "g1"), tried, called(2200, Expired, "")}},
+		"crash":                  {RuleRuns, 1, 0, []Event{ready, at(500, Crashed, "g1")}},
+		"panic in the log":       {RuleLog, 1, 0, []Event{ready, panicLine}},
+		"missed decision":        {RuleLog, 1, 0, []Event{ready, errorLine}},
+		"missed, it stood still": {RuleLog, 0, 1, []Event{ready, at(900, Paused, "g1"), at(1400, Woken, "g1"), errorLine}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := judge(t, row.events...)
+			f := find(t, r, row.rule)
+			if f.Count != row.broken || f.Excused != row.excused {
+				t.Errorf("broken %d, excused %d: %+v", f.Count, f.Excused, f)
+			}
+			if (row.broken > 0) == r.Held() {
+				t.Errorf("held %v with %d breaks", r.Held(), row.broken)
+			}
+			if row.broken > 0 && (r.Rule != row.rule || r.First.Process != "g1" || r.First.Place == "") {
+				t.Errorf("first broken: %s, %v", r.Rule, r.First)
+			}
+		})
+	}
+}
+
+// A set-up to a server that its gatekeeper held at level 2 counts; one sent while a fall of the level was not yet recorded,
+// or whose dial had begun before the gate, does not.
+func TestGated(t *testing.T) {
+	view := func(when control.Micros, level int) history.Event {
+		return history.Event{At: when * ms, Kind: history.Viewed, Node: "g1", Server: 7, Level: level}
+	}
+	sent := func(when control.Micros) history.Event {
+		return history.Event{At: when * ms, Kind: history.Sent, Node: "g1", Server: 7, Call: "c"}
+	}
+	for name, row := range map[string]struct {
+		broken int
+		events []history.Event
+	}{
+		"open":             {0, []history.Event{view(0, 1), sent(1000), view(2000, 1)}},
+		"gated":            {1, []history.Event{view(0, 2), sent(1000), view(1100, 3)}},
+		"gated to the end": {1, []history.Event{view(0, 2), sent(1000), view(2000, 0)}},
+		"just fallen":      {0, []history.Event{view(0, 2), sent(1000), view(1120, 1)}},
+		"just gated":       {0, []history.Event{view(500, 2), sent(1000), view(1500, 2)}},
+		"another start":    {0, []history.Event{view(0, 2), {At: 500 * ms, Kind: history.Started, Node: "g1"}, sent(1000), view(1500, 2)}},
+		"another's view":   {0, []history.Event{{At: 0, Kind: history.Viewed, Node: "g2", Server: 7, Level: 2}, sent(1000), view(1500, 0)}},
+	} {
+		c := New("front-", nil)
+		for i := range row.events {
+			c.Record(&row.events[i], Place{"records/g1", i})
+		}
+		if f := find(t, c.Result(), RuleGated); f.Count != row.broken {
+			t.Errorf("%s: %+v", name, f)
+		}
+	}
+}
+
+// The five rules of the records count too: a set-up that a draining server gets is found, and a late answer of a gatekeeper
+// that was paused is excused.
+func TestRulesOfRecords(t *testing.T) {
+	rules := &history.Rules{Classes: []history.Class{{Name: "x"}}, DrainGrace: 250 * ms, ReleaseGuard: 300 * ms, FallTime: 1000 * ms}
+	run := func(paused bool) *Result {
+		c := New("front-", nil)
+		if paused {
+			e := at(1500, Paused, "g1")
+			c.Event(&e)
+			e = at(2500, Woken, "g1")
+			c.Event(&e)
+		}
+		for i, e := range []history.Event{
+			{At: 0, Kind: history.Started, Rules: rules},
+			{At: 1, Kind: history.Told, Server: 7, State: control.Draining},
+			{At: 1000 * ms, Kind: history.Taken, Call: "c", Span: 1000 * ms},
+			{At: 1100 * ms, Kind: history.Sent, Call: "c", Server: 7},
+			{At: 2600 * ms, Kind: history.Stood, Call: "c", Server: 7},
+		} {
+			e.Node = "g1"
+			c.Record(&e, Place{"records/g1", i})
+		}
+		return c.Result()
+	}
+	for _, paused := range []bool{false, true} {
+		r := run(paused)
+		if f := find(t, r, "records: "+history.RuleDrain); f.Count != 1 || f.Verdict != history.Broken {
+			t.Errorf("drain: %+v", f)
+		}
+		if f := find(t, r, "records: "+history.RuleAnswer); (f.Count == 0) != paused || (f.Excused == 1) != paused {
+			t.Errorf("answer, paused %v: %+v", paused, f)
+		}
+	}
+}
+
+// The time to settle counts from the end of a fault to the first second in which calls stand as before, and not before the
+// gatekeepers that it took down are ready.
+func TestSettle(t *testing.T) {
+	run := func(until control.Micros, back control.Micros) Settled {
+		c := New("front-", nil)
+		events := []Event{}
+		for when := control.Micros(0); when < 12000; when += 20 {
+			switch when {
+			case 4000:
+				events = append(events, Event{At: when * ms, Kind: FaultFrom, What: "kill"}, at(when, Stopped, "g1"))
+			case 6000:
+				events = append(events, Event{At: when * ms, Kind: FaultTo, What: "kill"})
+			case back:
+				events = append(events, at(when, Ready, "g1"))
+			}
+			e := Event{At: when * ms, Kind: Tried, Process: "g2", Call: string(rune(when)), Span: 100 * ms}
+			events = append(events, e)
+			e.Kind, e.At = Stood, e.At+1
+			if when >= 4000 && when < until {
+				e.Kind = Refused
+			}
+			events = append(events, e)
+		}
+		for i := range events {
+			c.Event(&events[i])
+		}
+		return c.Result().Faults[0]
+	}
+	if s := run(6500, 6200); s.Before != 1 || s.During > 0.05 || s.Took < 400*ms || s.Took > 600*ms {
+		t.Errorf("calls stand 0.5 s after: %+v", s)
+	}
+	if s := run(6500, 8000); s.Took != 2000*ms {
+		t.Errorf("ready 2 s after: %+v", s)
+	}
+	if s := run(6500, 13000); s.Took != -1 {
+		t.Errorf("never ready: %+v", s)
+	}
+	if s := run(12000, 6200); s.Took != -1 {
+		t.Errorf("never back: %+v", s)
+	}
+}
