Fleet laboratory: real gatekeeper processes, relays between them, seeded fault scripts

Change: internal/fleetlab starts N gatekeepers (own configurations, ports, logs), waits on /api/ready, plays a script of faults (YAML with line and key, drawn by a seed), ends every process by its number, judges and reports (table, SVG, PNG). YAML by the library that the inventory uses.

--- /dev/null
+++ b/internal/fleetlab/check.go
@@ -0,0 +1,192 @@
+package fleetlab
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"beammux/control"
+	"beammux/control/fleetcheck"
+	"beammux/internal/fleetlab/script"
+	"beammux/internal/lab"
+	"beammux/internal/record"
+)
+
+const (
+	outcomeFile = "outcome.json"
+	summaryFile = "summary.json"
+	lineMost    = 1 << 20
+)
+
+// Summary is what a run came to.
+type Summary struct {
+	Dir         string       `json:"dir"`
+	Seed        uint64       `json:"seed"`
+	Gatekeepers int          `json:"gatekeepers"`
+	Servers     int          `json:"servers"`
+	Zones       int          `json:"zones"`
+	Verdict     string       `json:"verdict"` // held or broken
+	Stopped     bool         `json:"stopped"` // ended before its time
+	Took        float64      `json:"took_s"`
+	Starts      []float64    `json:"ready_after_s"` // of each gatekeeper's first start
+	Outcome     *lab.Outcome `json:"outcome,omitempty"`
+	*fleetcheck.Result
+}
+
+func (s *Summary) write(dir string) error {
+	text, err := json.MarshalIndent(s, "", " ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, summaryFile), append(text, '\n'), 0o644)
+	}
+	if err != nil {
+		return err
+	}
+	return s.report(dir)
+}
+
+// Check reads what a run wrote and judges it, with the further rules that are given. It may be called again at any time.
+func Check(dir string, invariants ...fleetcheck.Invariant) (*Summary, error) {
+	s, err := script.Load(filepath.Join(dir, "script.yaml"))
+	if err != nil {
+		return nil, err
+	}
+	sum := &Summary{Dir: dir, Seed: s.Seed, Gatekeepers: s.Gatekeepers, Servers: s.Servers, Zones: s.Zones, Verdict: "held"}
+	text, err := os.ReadFile(filepath.Join(dir, outcomeFile))
+	if err == nil {
+		err = json.Unmarshal(text, &sum.Outcome)
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) { // a run that was stopped has none
+		return nil, err
+	}
+	capacities := map[uint32]float64{}
+	for i := range s.Servers {
+		capacities[uint32(i+1)] = lab.PlatformWork().Capacity()
+	}
+	c := fleetcheck.New(script.Front, capacities, invariants...)
+	events, err := readEvents(dir, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := merge(c, dir, events); err != nil {
+		return nil, err
+	}
+	sum.Result = c.Result()
+	if !sum.Held() {
+		sum.Verdict = "broken"
+	}
+	return sum, nil
+}
+
+// readEvents reads all but the records, sorted by time.
+func readEvents(dir string, s *script.Script) (events []fleetcheck.Event, err error) {
+	for _, name := range []string{"run.jsonl", "callers.jsonl", "servers.jsonl"} {
+		err := eachLine(filepath.Join(dir, name), func(n int, text []byte) error {
+			var l line
+			if err := json.Unmarshal(text, &l); err != nil {
+				return err
+			}
+			e, ok := l.event(fleetcheck.Place{File: name, Line: n})
+			if !ok {
+				return fmt.Errorf("kind %q is not known", l.Kind)
+			}
+			events = append(events, e)
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	for i := range s.Gatekeepers {
+		name := script.Gatekeeper(i)
+		file := filepath.Join("logs", name+".log")
+		last := control.Micros(0)
+		err := eachLine(filepath.Join(dir, file), func(n int, text []byte) error {
+			e := logged(text, last)
+			last = e.At
+			e.Process, e.Place = name, fleetcheck.Place{File: file, Line: n}
+			events = append(events, e)
+			return nil
+		})
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(events, func(a, b fleetcheck.Event) int { return int(min(max(a.At-b.At, -1), 1)) })
+	return events, nil
+}
+
+// logged reads a line of a gatekeeper's log. What is no JSON comes from the runtime: a panic, and the stacks after it.
+func logged(text []byte, last control.Micros) fleetcheck.Event {
+	var l struct {
+		Time             time.Time
+		Level, Msg, Call string
+	}
+	if json.Unmarshal(text, &l) != nil {
+		e := fleetcheck.Event{At: last, Kind: fleetcheck.Logged, What: strings.TrimSpace(string(text))}
+		if strings.HasPrefix(e.What, "panic:") || strings.HasPrefix(e.What, "fatal error:") {
+			e.Level = "panic"
+		}
+		return e
+	}
+	return fleetcheck.Event{At: control.Micros(l.Time.UnixMicro()), Kind: fleetcheck.Logged, Level: l.Level, What: l.Msg, Call: l.Call}
+}
+
+// eachLine hands on the lines of a file, counted from 1.
+func eachLine(file string, take func(n int, text []byte) error) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	in := bufio.NewScanner(f)
+	in.Buffer(make([]byte, 64<<10), lineMost)
+	for n := 1; in.Scan(); n++ {
+		if err := take(n, in.Bytes()); err != nil {
+			return fmt.Errorf("%s:%d: %w", file, n, err)
+		}
+	}
+	return in.Err()
+}
+
+// merge hands a checker the events and the gatekeepers' records in the order of time.
+func merge(c *fleetcheck.Checker, dir string, events []fleetcheck.Event) error {
+	next := 0
+	until := func(at control.Micros) {
+		for ; next < len(events) && events[next].At <= at; next++ {
+			c.Event(&events[next])
+		}
+	}
+	records, err := record.OpenAll(filepath.Join(dir, "records"))
+	if err == nil {
+		defer records.Close()
+		for {
+			item, err := records.Next()
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				return err
+			}
+			if g := item.Gap; g != nil {
+				until(g.From)
+				c.Gap(*g)
+				continue
+			}
+			e := item.Event
+			until(e.At)
+			c.Record(e, fleetcheck.Place{File: fmt.Sprintf("records/%s start %d", e.Node, e.Start), Line: int(e.Seq)})
+		}
+	} else if !strings.Contains(err.Error(), "no records") { // a run that was stopped before any gatekeeper wrote one
+		return err
+	}
+	until(1 << 62)
+	return nil
+}
--- /dev/null
+++ b/internal/fleetlab/fleet.go
@@ -0,0 +1,518 @@
+// Package fleetlab is the fleet laboratory: it starts many gatekeepers as processes of their own on loopback, with stand-ins
+// for menu servers, callers and the event bus, and a relay on every way between two that talk; it plays a script of faults,
+// and judges by package fleetcheck what was seen. Everything it starts it ends, by number, however the run ends.
+package fleetlab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"beammux/control/fleetcheck"
+	"beammux/internal/fleetlab/script"
+	"beammux/internal/lab"
+	"beammux/internal/relay"
+)
+
+// Options of a run.
+type Options struct {
+	Program Program
+	Dir     string // for configurations, logs, records and the report; it must be new or empty
+	Script  *script.Script
+	Log     logrus.FieldLogger
+	// Progress is told of what happens, if not nil.
+	Progress func(at time.Duration, what string)
+	// Ready, if not nil, is called once the fleet is up, before the first call, with the numbers of its processes.
+	Ready func(pids []int)
+}
+
+const (
+	statusEvery   = 250 * time.Millisecond // servers tell their state so often
+	startCapacity = 0.33                   // of a server that returns cold: the settings' start-capacity
+	warmWithin    = 15 * time.Second       // the settings' warm-within-us
+	endWithin     = 8 * time.Second        // after SIGTERM: the longest deadline and some
+	together      = 8                      // gatekeepers that are started at the same time
+	storeService  = "store"
+)
+
+// fleet is one run.
+type fleet struct {
+	Options
+	s       *script.Script
+	net     *relay.Network
+	bus     *lab.Bus
+	callers *lab.Callers
+	log     logrus.FieldLogger
+
+	runs, calls, serves *journal
+
+	mu          sync.Mutex
+	gatekeepers []*gatekeeper
+	servers     []*server
+	addr        map[[3]string]string // from, to, service: the relay's address
+	troubled    map[[2]string]int    // faults that concern a direction now
+	conditions  map[[2]string][]condition
+	began       time.Time // of the first call
+	busy        sync.WaitGroup
+	fault       error
+}
+
+type condition struct {
+	id int
+	relay.Condition
+}
+
+type gatekeeper struct {
+	name   string
+	index  int
+	start  int // counted from 1
+	p      *process
+	ready  time.Duration // from its last start
+	cancel context.CancelFunc
+}
+
+type server struct {
+	name  string
+	index int
+	mu    sync.Mutex
+	s     *lab.Server
+	all   []*lab.Server
+	since time.Time
+	state string
+	end   func() // of its status
+}
+
+// Run plays a script and judges what came of it. What the run wrote is in Dir, also where it fails.
+func Run(ctx context.Context, o Options) (*Summary, error) {
+	f := &fleet{Options: o, s: o.Script, log: o.Log, net: relay.New(o.Script.Seed), addr: map[[3]string]string{},
+		troubled: map[[2]string]int{}, conditions: map[[2]string][]condition{}}
+	if f.log == nil {
+		l := logrus.New()
+		l.SetLevel(logrus.PanicLevel)
+		f.log = l
+	}
+	if entries, err := os.ReadDir(o.Dir); err == nil && len(entries) > 0 {
+		return nil, fmt.Errorf("%s: is not empty; a run needs a folder of its own", o.Dir)
+	}
+	for _, d := range []string{"logs", "records", "etc", "state"} {
+		if err := os.MkdirAll(filepath.Join(o.Dir, d), 0o755); err != nil {
+			return nil, err
+		}
+	}
+	if err := os.WriteFile(f.file("script.yaml"), f.s.Marshal(), 0o644); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	starts, err := f.play(ctx)
+	stopped := ctx.Err() != nil
+	if err != nil && !stopped {
+		return nil, err
+	}
+	sum, err := Check(o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	sum.Stopped, sum.Took, sum.Starts = stopped, time.Since(began).Seconds(), starts
+	if err := sum.write(o.Dir); err != nil {
+		return nil, err
+	}
+	return sum, nil
+}
+
+func (f *fleet) file(name ...string) string {
+	return filepath.Join(append([]string{f.Dir}, name...)...)
+}
+
+func (f *fleet) tell(what string) {
+	at := time.Duration(0)
+	if !f.began.IsZero() {
+		at = time.Since(f.began)
+	}
+	f.log.WithField("at_ms", at.Milliseconds()).Info(what)
+	if f.Progress != nil {
+		f.Progress(at, what)
+	}
+}
+
+func (f *fleet) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault == nil {
+		f.fault = err
+	}
+}
+
+// play starts everything, plays the script and ends everything.
+func (f *fleet) play(ctx context.Context) (starts []float64, err error) {
+	for file, j := range map[string]**journal{"run.jsonl": &f.runs, "callers.jsonl": &f.calls, "servers.jsonl": &f.serves} {
+		if *j, err = newJournal(f.file(file)); err != nil {
+			return nil, err
+		}
+	}
+	defer func() {
+		for _, j := range []*journal{f.runs, f.calls, f.serves} {
+			err = errors.Join(err, j.close())
+		}
+	}()
+	defer f.net.Close()
+	if err = f.serve(); err != nil {
+		return nil, err
+	}
+	defer f.endServers()
+	if err = f.link(); err != nil {
+		return nil, err
+	}
+	defer f.bus.Close()
+	defer f.endGatekeepers()
+	if starts, err = f.startAll(ctx); err != nil {
+		return starts, err
+	}
+	calls, hangUp := context.WithCancel(context.Background())
+	var kept sync.WaitGroup
+	defer kept.Wait()
+	defer hangUp()
+	f.callers = lab.NewCallers(f.load())
+	for i, g := range f.gatekeepers {
+		kept.Go(func() { f.callers.Keep(calls, i, f.addr[[3]string{script.Front + f.s.ZoneOf(g.name), g.name, ""}]) })
+	}
+	if err = f.allUp(ctx); err != nil {
+		return starts, err
+	}
+	if f.Ready != nil {
+		f.Ready(f.pids())
+	}
+	f.began = time.Now()
+	f.tell(fmt.Sprintf("%d gatekeepers, %d servers, %d zones: calls begin", f.s.Gatekeepers, f.s.Servers, f.s.Zones))
+	faults, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.busy.Go(func() { f.timeline(faults) })
+	f.callers.Play(ctx)
+	cancel()
+	f.busy.Wait()
+	if err := f.outcome(); err != nil {
+		return starts, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return starts, f.fault
+}
+
+// outcome writes what the callers say of the run.
+func (f *fleet) outcome() error {
+	var all []*lab.Server
+	for _, v := range f.servers {
+		all = append(all, v.all...)
+	}
+	text, err := json.MarshalIndent(f.callers.Outcome(all), "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.file(outcomeFile), text, 0o644)
+}
+
+// serve starts the stand-in servers and the bus.
+func (f *fleet) serve() error {
+	var hosts []lab.Host
+	for i := range f.s.Servers {
+		v := &server{name: script.Server(i), index: i, state: "up"}
+		f.servers = append(f.servers, v)
+		if err := f.startServer(v); err != nil {
+			return err
+		}
+		hosts = append(hosts, f.host(v))
+	}
+	f.bus = lab.NewBus(hosts)
+	return nil
+}
+
+func hostName(index int) string { return fmt.Sprintf("s-%08x", index+1) }
+
+func (f *fleet) host(v *server) lab.Host {
+	return lab.Host{Name: hostName(v.index), State: v.state, Cell: v.index, Zone: f.s.ZoneOf(v.name), Since: v.since}
+}
+
+func (f *fleet) startServer(v *server) error {
+	s, err := lab.NewServer(lab.PlatformWork(), f.s.Seed<<8+uint64(v.index)+uint64(len(v.all))<<32)
+	if err != nil {
+		return err
+	}
+	s.Hear(func(e lab.Seen) {
+		if e.Kind == lab.ServerAnswered {
+			f.serves.note(fleetcheck.Given, line{Process: v.name, Call: e.Call, What: "stands " + e.Call})
+		}
+	})
+	v.mu.Lock()
+	v.s, v.all, v.end = s, append(v.all, s), s.Status(statusEvery)
+	v.mu.Unlock()
+	f.net.Up(v.name, "", s.Addr())
+	return nil
+}
+
+func (f *fleet) endServers() {
+	for _, v := range f.servers {
+		v.mu.Lock()
+		v.end()
+		v.s.Close()
+		v.mu.Unlock()
+	}
+}
+
+// link lays a relay on every way between two that talk.
+func (f *fleet) link() error {
+	tcp := func(from, to, service string) error {
+		l, err := f.net.TCP(from, to, service)
+		if err == nil {
+			f.addr[[3]string{from, to, service}] = l.Addr()
+		}
+		return err
+	}
+	for i := range f.s.Gatekeepers {
+		g := &gatekeeper{name: script.Gatekeeper(i), index: i}
+		f.gatekeepers = append(f.gatekeepers, g)
+		for _, v := range f.servers {
+			if err := tcp(g.name, v.name, ""); err != nil {
+				return err
+			}
+		}
+		if err := tcp(script.Front+f.s.ZoneOf(g.name), g.name, ""); err != nil {
+			return err
+		}
+		if err := tcp(g.name, script.Bus, g.name); err != nil {
+			return err
+		}
+		bus, err := f.bus.Listen(f.dials(g.name))
+		if err != nil {
+			return err
+		}
+		f.net.Up(script.Bus, g.name, bus)
+		for k := range f.s.Members {
+			if k != i && i < f.s.Members {
+				if err := tcp(g.name, script.Gatekeeper(k), storeService); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	for _, v := range f.servers {
+		f.net.Up(v.name, "", v.s.Addr())
+	}
+	return nil
+}
+
+// dials gives the address at which a gatekeeper reaches a server by its name on the list.
+func (f *fleet) dials(from string) func(string) string {
+	return func(host string) string {
+		n, _ := strconv.ParseUint(strings.TrimPrefix(host, "s-"), 16, 32)
+		return f.addr[[3]string{from, script.Server(int(n) - 1), ""}]
+	}
+}
+
+func member(name string) string { return name + ".store:1" }
+
+// configure writes what a gatekeeper is told at a start.
+func (f *fleet) configure(g *gatekeeper, tmp string) error {
+	etc := f.file("etc", g.name)
+	if err := errors.Join(os.MkdirAll(etc, 0o755), os.MkdirAll(tmp, 0o700)); err != nil {
+		return err
+	}
+	state, err := filepath.Abs(f.file("state", g.name, "store"))
+	if err != nil {
+		return err
+	}
+	records, err := filepath.Abs(f.file("records"))
+	if err != nil {
+		return err
+	}
+	store := map[string]any{"node": g.name, "dir": state, "sync": "interval"}
+	if g.index < f.s.Members && f.s.Members > 1 {
+		var peers, via []map[string]string
+		for k := range f.s.Members {
+			name := script.Gatekeeper(k)
+			peers = append(peers, map[string]string{"node": name, "address": member(name)})
+			if k != g.index {
+				via = append(via, map[string]string{"address": member(name), "through": f.addr[[3]string{g.name, name, storeService}]})
+			}
+		}
+		store["listen"], store["peers"], store["via"] = "127.0.0.1:0", peers, via
+	}
+	seed := rand.New(rand.NewPCG(f.s.Seed, uint64(g.index)<<32+uint64(g.start))).Uint64()
+	for name, what := range map[string]any{
+		"config.json": map[string]any{"name": g.name, "listen": "127.0.0.1:0", "seed": fmt.Sprintf("%016x", seed),
+			"limits": map[string]any{"sockets": 1024}, "bus": f.addr[[3]string{g.name, script.Bus, g.name}],
+			"known": f.bus.Known(f.dials(g.name)), "settings": json.RawMessage(lab.Settings(f.s.Gatekeepers))},
+		"deploy.json": map[string]any{"store": store, "records": map[string]any{"dir": records, "segment_mb": 64}},
+	} {
+		text, err := json.MarshalIndent(what, "", " ")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(etc, name), text, 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts a gatekeeper and returns once it is ready.
+func (f *fleet) start(ctx context.Context, g *gatekeeper) error {
+	f.mu.Lock()
+	g.start++
+	f.mu.Unlock()
+	tmp, err := filepath.Abs(f.file("state", g.name, "tmp"+strconv.Itoa(g.start)))
+	if err == nil {
+		err = f.configure(g, tmp)
+	}
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	p, err := spawn(f.Program, g.name, "", f.file("logs", g.name+".log"), []string{"--log-format", "json", "serve",
+		"--config", f.file("etc", g.name, "config.json"), "--deploy", f.file("etc", g.name, "deploy.json")},
+		[]string{"PROXY_ADMIN_ADDR=127.0.0.1:0", "TMPDIR=" + tmp, "GOMAXPROCS=1"},
+		func(s said) {
+			switch s.Msg {
+			case "store listening":
+				f.net.Up(g.name, storeService, s.Listen)
+			case "serving":
+				f.net.Up(g.name, "", s.Listen)
+			}
+		}, func(p *process) { f.ended(g, p) })
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	g.p = p
+	f.mu.Unlock()
+	if _, err = p.ready(ctx); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	g.ready = time.Since(began)
+	f.mu.Unlock()
+	f.runs.note(fleetcheck.Ready, line{Process: g.name, What: "pid " + strconv.Itoa(p.pid())})
+	return nil
+}
+
+// ended notes the end of a process, and that it ended by itself where nobody told it to.
+func (f *fleet) ended(g *gatekeeper, p *process) {
+	f.net.Down(g.name)
+	if p.err != nil {
+		f.fail(fmt.Errorf("%s: its log: %w", p.name, p.err))
+	}
+	status := p.state.Sys().(syscall.WaitStatus)
+	switch {
+	case !p.wasAsked(), !status.Signaled() && p.state.ExitCode() != 0:
+		f.runs.note(fleetcheck.Crashed, line{Process: g.name, What: p.state.String()})
+		f.tell(g.name + " ended by itself: " + p.state.String())
+	default:
+		f.runs.note(fleetcheck.Stopped, line{Process: g.name, What: p.state.String()})
+	}
+}
+
+func (f *fleet) startAll(ctx context.Context) ([]float64, error) {
+	began := time.Now()
+	var group errgroup.Group
+	// Members of the store wait for each other, so all of them are started at the same time.
+	group.SetLimit(max(together, f.s.Members))
+	for _, g := range f.gatekeepers {
+		group.Go(func() error { return f.start(ctx, g) })
+	}
+	err := group.Wait()
+	starts := []float64{}
+	for _, g := range f.gatekeepers {
+		starts = append(starts, g.ready.Seconds())
+	}
+	if err == nil {
+		f.tell(fmt.Sprintf("all ready after %d ms", time.Since(began).Milliseconds()))
+	}
+	return starts, err
+}
+
+// allUp returns once callers may be led to every gatekeeper.
+func (f *fleet) allUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for f.callers.Up() < len(f.gatekeepers) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("callers reach %d of %d gatekeepers: %w", f.callers.Up(), len(f.gatekeepers), ctx.Err())
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+func (f *fleet) pids() (pids []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.gatekeepers {
+		if g.p != nil {
+			pids = append(pids, g.p.pid())
+		}
+	}
+	return pids
+}
+
+// endGatekeepers ends every gatekeeper that runs, in order where nothing failed.
+func (f *fleet) endGatekeepers() {
+	f.net.Heal()
+	var all sync.WaitGroup
+	f.mu.Lock()
+	for _, g := range f.gatekeepers {
+		if p := g.p; p != nil && !p.over() {
+			f.runs.note(fleetcheck.Asked, line{Process: g.name})
+			all.Go(func() {
+				if !p.end(endWithin) {
+					f.runs.note(fleetcheck.Crashed, line{Process: p.name, What: "did not end within " + endWithin.String() + " of SIGTERM: killed"})
+				}
+			})
+		}
+	}
+	f.mu.Unlock()
+	all.Wait()
+}
+
+// load is what the callers offer: each first call comes to a gatekeeper of a zone, and its first choice is a server there.
+func (f *fleet) load() lab.Load {
+	zones := make([][2][]int, f.s.Zones) // gatekeepers and servers
+	for i := range f.s.Gatekeepers {
+		zones[i%f.s.Zones][0] = append(zones[i%f.s.Zones][0], i)
+	}
+	for i := range f.s.Servers {
+		zones[i%f.s.Zones][1] = append(zones[i%f.s.Zones][1], i)
+	}
+	kinds := map[lab.SeenKind]fleetcheck.Kind{lab.Tried: fleetcheck.Tried, lab.Stood: fleetcheck.Stood, lab.Refused: fleetcheck.Refused,
+		lab.Failed: fleetcheck.Failed, lab.SecondAnswer: fleetcheck.Second, lab.Unanswered: fleetcheck.Expired,
+		lab.Broken: fleetcheck.Broken, lab.Unsent: fleetcheck.Unsent}
+	return lab.Load{Seed: f.s.Seed, Gatekeepers: f.s.Gatekeepers, Servers: f.s.Servers, Length: time.Duration(f.s.Length),
+		PerS: f.s.Load * lab.PlatformWork().Capacity() * float64(f.s.Servers),
+		Pick: func(rng *rand.Rand) (home, dest int) {
+			z := zones[rng.IntN(len(zones))]
+			return z[0][rng.IntN(len(z[0]))], z[1][rng.IntN(len(z[1]))]
+		},
+		Hear: func(e lab.Seen) {
+			kind, ok := kinds[e.Kind]
+			if !ok {
+				return
+			}
+			l := line{Call: e.Call, Class: e.Class, Span: e.Span.Microseconds(), What: strings.TrimSpace(e.Body)}
+			if e.Gatekeeper >= 0 {
+				l.Process = script.Gatekeeper(e.Gatekeeper)
+			}
+			f.calls.note(kind, l)
+		}}
+}
