--- a/control/fleetcheck/fleetcheck.go
+++ b/control/fleetcheck/fleetcheck.go
@@ -98,8 +98,6 @@
 	crossWithin = control.Micros(50000)          // a set-up that crosses a close so soon is sent once more by its caller (PROTOCOL)
 	takeAfter   = control.Micros(700000)         // after SIGTERM nothing that comes later is owed (PROTOCOL, Figures)
 	settleGrace = control.Micros(300000)         // after a wake, a heal or a ready, what was held up still comes late
-	gateSlack   = control.Micros(600000)         // between a decision and its first byte may lie a dial of 500 ms
-	viewLag     = control.Micros(120000)         // a level that falls is recorded within 50 ms (routing: lookEvery)
 	evidenceMax = 20
 )
 
@@ -162,7 +160,7 @@
 	gatekeeper string
 }
 
-// verdictOf is a try that may have broken a rule, judged once all trouble is known.
+// suspect is what may have broken a rule, judged once all trouble is known.
 type suspect struct {
 	rule string
 	from control.Micros
@@ -174,6 +172,7 @@
 	front      string
 	processes  map[string]*process
 	tries      map[string]try
+	answers    map[string]try // those that have their final answer, with its time
 	final      map[string]Kind
 	given      map[string]string
 	suspects   []suspect
@@ -181,25 +180,12 @@
 	order      []string
 	invariants []Invariant
 	records    *history.Checker
-	gates      map[gate]*gateState
 	stats      Stats
 	now        control.Micros
 	course     course
 	logged     bool
 }
 
-type gate struct {
-	node   string
-	server uint32
-}
-
-type gateState struct {
-	level   int
-	since   control.Micros // of the gate: when the level was first seen at 2 or more
-	pending []*history.Event
-	places  []Place
-}
-
 // Stats counts what callers met with.
 type Stats struct {
 	Tries      int `json:"tries"`
@@ -215,8 +201,8 @@
 // New makes a checker. The names of the callers' processes begin with front, those of no other do; capacities gives the set-ups a
 // second of each warm server, by its number in the records.
 func New(front string, capacities map[uint32]float64, invariants ...Invariant) *Checker {
-	c := &Checker{front: front, processes: map[string]*process{}, tries: map[string]try{}, final: map[string]Kind{}, given: map[string]string{},
-		found: map[string]*Finding{}, invariants: invariants, records: history.NewChecker(capacities), gates: map[gate]*gateState{}}
+	c := &Checker{front: front, processes: map[string]*process{}, tries: map[string]try{}, answers: map[string]try{}, final: map[string]Kind{}, given: map[string]string{},
+		found: map[string]*Finding{}, invariants: invariants, records: history.NewChecker(capacities)}
 	for _, rule := range []string{RuleFinal, RuleServed, RuleGated, RuleRuns, RuleLog} {
 		c.rule(rule)
 	}
@@ -288,7 +274,7 @@
 	case Stood, Refused, Failed:
 		c.answered(e, evidence)
 	case Second:
-		c.broke(RuleFinal, evidence("a second final answer: "+e.What))
+		c.second(e, evidence("a second final answer: "+e.What))
 	case Expired, Broken:
 		c.unanswered(e, evidence)
 	case Unsent:
@@ -352,6 +338,7 @@
 		c.broke(RuleFinal, evidence("an answer to a set-up that no caller sent"))
 		return
 	}
+	c.answers[e.Call] = try{*e, k.gatekeeper}
 	switch e.Kind {
 	case Stood:
 		c.stats.Stood++
@@ -372,15 +359,15 @@
 func (c *Checker) unanswered(e *Event, evidence func(string) Evidence) {
 	k, known := c.tries[e.Call]
 	delete(c.tries, e.Call)
+	if !known { // it found no gatekeeper: counted there
+		return
+	}
 	if e.Kind == Expired {
 		c.stats.Unanswered++
 	} else {
 		c.stats.Broken++
 	}
 	c.course.over(e, false)
-	if !known {
-		return
-	}
 	c.final[e.Call] = e.Kind
 	what := "no final answer by its caller's time"
 	if e.Kind == Broken {
@@ -392,6 +379,21 @@
 	c.suspects = append(c.suspects, suspect{RuleFinal, k.At, evidence(what)})
 }
 
+// second judges a further answer. One that is a release may come from a process that has started since and does not know
+// the call: a server holds it to stand whose answer was lost on its way, and its release is passed on (PROTOCOL, the rules
+// on sockets: what has stood is released to its client).
+func (c *Checker) second(e *Event, evidence Evidence) {
+	was, known := c.answers[e.Call]
+	if known {
+		evidence.Process = was.gatekeeper
+	}
+	if _, stood := c.given[e.Call]; e.What == "close" && known && stood {
+		c.suspects = append(c.suspects, suspect{RuleFinal, was.At, evidence})
+		return
+	}
+	c.broke(RuleFinal, evidence)
+}
+
 // excused tells whether trouble at a process excuses what it owed from a time to another.
 func (c *Checker) excused(name string, from, to control.Micros) bool {
 	p := c.process(name)
@@ -423,57 +425,18 @@
 }
 
 // Gap takes a gap of the records.
-func (c *Checker) Gap(g history.Gap) {
-	c.records.Gap(g)
-	for at := range c.gates {
-		if at.node == g.Node {
-			delete(c.gates, at)
-		}
-	}
-}
+func (c *Checker) Gap(g history.Gap) { c.records.Gap(g) }
 
-// gated judges set-ups to a server that the gatekeeper itself held at level 2 or more (DESIGN: no new set-ups there). Views
-// are recorded up to 50 ms late, so a set-up counts only if the next view still shows the gate or comes later than that.
+// gated judges set-ups to a server that the gatekeeper itself held at level 2 or more when it decided (DESIGN: no new set-ups
+// there). The views in the records are too coarse for it: a level that falls for a report and rises with the next delay
+// may lie between two of them.
 func (c *Checker) gated(e *history.Event, place Place) {
-	at := gate{e.Node, e.Server}
-	switch e.Kind {
-	case history.Started:
-		for k := range c.gates {
-			if k.node == e.Node {
-				delete(c.gates, k)
-			}
-		}
-	case history.Viewed:
-		g := c.gates[at]
-		if g == nil {
-			g = &gateState{}
-			c.gates[at] = g
-		}
-		was, now := gatedAt(g.level), gatedAt(e.Level)
-		for i, s := range g.pending {
-			if now || e.At > s.At+viewLag {
-				c.toGated(s, g, g.places[i])
-			}
-		}
-		g.pending, g.places = nil, nil
-		g.level = e.Level
-		if now && !was {
-			g.since = e.At
-		}
-	case history.Sent:
-		if g := c.gates[at]; g != nil && gatedAt(g.level) && e.At > g.since+gateSlack {
-			copied := *e
-			g.pending, g.places = append(g.pending, &copied), append(g.places, place)
-		}
+	if e.Kind != history.Sent || !(control.View{Level: e.Level}).Gated() {
+		return
 	}
-}
-
-func gatedAt(level int) bool { return control.View{Level: level}.Gated() }
-
-func (c *Checker) toGated(s *history.Event, g *gateState, place Place) {
 	c.stats.Gated++
-	c.suspects = append(c.suspects, suspect{RuleGated, s.At, Evidence{s.At, s.Node, s.Call, place.String(),
-		fmt.Sprintf("sent to server %d, %d ms after its level was seen at %d", s.Server, (s.At-g.since)/1000, g.level)}})
+	c.broke(RuleGated, Evidence{e.At, e.Node, e.Call, place.String(),
+		fmt.Sprintf("sent to server %d, which it held at level %d", e.Server, e.Level)})
 }
 
 // Result is what a run shows.
@@ -494,15 +457,8 @@
 	for _, i := range c.invariants {
 		i.End(func(ev Evidence) { c.broke(i.Rule(), ev) })
 	}
-	for at, g := range c.gates {
-		for i, s := range g.pending {
-			if c.now > s.At+viewLag && at.node != "" {
-				c.toGated(s, g, g.places[i])
-			}
-		}
-	}
 	for _, s := range c.suspects {
-		if s.rule != RuleGated && c.excused(s.Process, s.from, s.At) {
+		if c.excused(s.Process, s.from, s.At) {
 			c.rule(s.rule).Excused++
 			continue
 		}
--- a/control/fleetcheck/fleetcheck_test.go
+++ b/control/fleetcheck/fleetcheck_test.go
@@ -73,6 +73,9 @@
 		"served another's":       {RuleServed, 1, 0, []Event{ready, tried, given, called(1200, Stood, "e")}},
 		"two answers":            {RuleFinal, 1, 0, []Event{ready, tried, called(1200, Refused, ""), called(1300, Failed, "")}},
 		"told twice":             {RuleFinal, 1, 0, []Event{ready, tried, called(1200, Refused, ""), called(1300, Second, "ready")}},
+		"released unknown":       {RuleFinal, 1, 0, []Event{ready, tried, given, called(1200, Refused, ""), called(1900, Second, "close")}},
+		"released, new start":    {RuleFinal, 0, 1, []Event{ready, tried, given, called(1200, Refused, ""), at(1300, Stopped, "g1"), at(1400, Ready, "g1"), called(1900, Second, "close")}},
+		"released, never stood":  {RuleFinal, 1, 0, []Event{ready, tried, called(1200, Refused, ""), at(1300, Stopped, "g1"), at(1400, Ready, "g1"), called(1900, Second, "close")}},
 		"to nobody's call":       {RuleFinal, 1, 0, []Event{ready, called(1200, Refused, "")}},
 		"in time":                {RuleFinal, 0, 0, []Event{ready, tried, called(2150, Refused, "")}},
 		"late":                   {RuleFinal, 1, 0, []Event{ready, tried, called(2151, Refused, "")}},
@@ -111,33 +114,14 @@
 	}
 }
 
-// A set-up to a server that its gatekeeper held at level 2 counts; one sent while a fall of the level was not yet recorded,
-// or whose dial had begun before the gate, does not.
+// A set-up counts by the level that its gatekeeper held the server at when it decided.
 func TestGated(t *testing.T) {
-	view := func(when control.Micros, level int) history.Event {
-		return history.Event{At: when * ms, Kind: history.Viewed, Node: "g1", Server: 7, Level: level}
-	}
-	sent := func(when control.Micros) history.Event {
-		return history.Event{At: when * ms, Kind: history.Sent, Node: "g1", Server: 7, Call: "c"}
-	}
-	for name, row := range map[string]struct {
-		broken int
-		events []history.Event
-	}{
-		"open":             {0, []history.Event{view(0, 1), sent(1000), view(2000, 1)}},
-		"gated":            {1, []history.Event{view(0, 2), sent(1000), view(1100, 3)}},
-		"gated to the end": {1, []history.Event{view(0, 2), sent(1000), view(2000, 0)}},
-		"just fallen":      {0, []history.Event{view(0, 2), sent(1000), view(1120, 1)}},
-		"just gated":       {0, []history.Event{view(500, 2), sent(1000), view(1500, 2)}},
-		"another start":    {0, []history.Event{view(0, 2), {At: 500 * ms, Kind: history.Started, Node: "g1"}, sent(1000), view(1500, 2)}},
-		"another's view":   {0, []history.Event{{At: 0, Kind: history.Viewed, Node: "g2", Server: 7, Level: 2}, sent(1000), view(1500, 0)}},
-	} {
+	for level, broken := range []int{0, 0, 1, 1, 1} {
 		c := New("front-", nil)
-		for i := range row.events {
-			c.Record(&row.events[i], Place{"records/g1", i})
-		}
-		if f := find(t, c.Result(), RuleGated); f.Count != row.broken {
-			t.Errorf("%s: %+v", name, f)
+		c.Record(&history.Event{At: 5, Kind: history.Sent, Node: "g1", Server: 7, Call: "c", Level: level}, Place{"records/g1", 3})
+		r := c.Result()
+		if f := find(t, r, RuleGated); f.Count != broken || r.Stats.Gated != broken {
+			t.Errorf("level %d: %+v", level, f)
 		}
 	}
 }
--- a/control/history/event.go
+++ b/control/history/event.go
@@ -11,7 +11,7 @@
 const (
 	Started   Kind = 1 + iota // Rules, Name (version of limits): the first event of a start
 	Taken                     // Call, Class, Value (worth), Span (time its caller gives it), Again
-	Sent                      // Call, Attempt, Server: the first byte of a set-up is about to go out
+	Sent                      // Call, Attempt, Server, Level (held when it was decided): the first byte of a set-up is about to go out
 	Ended                     // Call, Attempt, Server, Code, Span (since it was sent): an attempt is over without standing
 	Stood                     // Call, Attempt, Server, Span (since the call was taken): final answer, the call stands
 	Refused                   // Call, Span (wait told): final answer
--- a/internal/fleetlab/fleet.go
+++ b/internal/fleetlab/fleet.go
@@ -256,7 +256,19 @@
 	v.mu.Lock()
 	v.s, v.all, v.end = s, append(v.all, s), s.Status(statusEvery)
 	v.mu.Unlock()
-	f.net.Up(v.name, "", s.Addr())
+	return f.open(v)
+}
+
+// open lets each gatekeeper's way to a server end at an address of its own there, so that the server knows whose a
+// connection is, as by the machine that it comes from.
+func (f *fleet) open(v *server) error {
+	for _, g := range f.gatekeepers {
+		addr, err := v.s.ListenFor(g.name)
+		if err != nil {
+			return err
+		}
+		f.net.Up(v.name, g.name, addr)
+	}
 	return nil
 }
 
@@ -282,7 +294,7 @@
 		g := &gatekeeper{name: script.Gatekeeper(i), index: i}
 		f.gatekeepers = append(f.gatekeepers, g)
 		for _, v := range f.servers {
-			if err := tcp(g.name, v.name, ""); err != nil {
+			if err := tcp(g.name, v.name, g.name); err != nil {
 				return err
 			}
 		}
@@ -306,7 +318,9 @@
 		}
 	}
 	for _, v := range f.servers {
-		f.net.Up(v.name, "", v.s.Addr())
+		if err := f.open(v); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -315,7 +329,7 @@
 func (f *fleet) dials(from string) func(string) string {
 	return func(host string) string {
 		n, _ := strconv.ParseUint(strings.TrimPrefix(host, "s-"), 16, 32)
-		return f.addr[[3]string{from, script.Server(int(n) - 1), ""}]
+		return f.addr[[3]string{from, script.Server(int(n) - 1), from}]
 	}
 }
 
--- a/internal/fleetlab/fleetlab_test.go
+++ b/internal/fleetlab/fleetlab_test.go
@@ -161,8 +161,8 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	s, err := script.Parse("script", []byte("version: 1\nseed: 1\nload: 0.5\ngatekeepers: 2\nservers: 2\nzones: 1\nstore_members: 0\nlength: 1m\n"+
-		"faults:\n  - {at: 0s, for: 50s, fault: pause, target: g1}\n"))
+	s, err := script.Parse("script", []byte("version: 1\nseed: 1\nload: 0.5\ngatekeepers: 2\nservers: 2\nzones: 1\nstore_members: 0\nlength: 20s\n"+
+		"faults:\n  - {at: 0s, for: 15s, fault: pause, target: g1}\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,14 +170,14 @@
 	began := time.Now()
 	sum, err := Run(ctx, Options{Program: program(t), Dir: t.TempDir(), Script: s, Ready: func(p []int) { pids = p },
 		Progress: func(at time.Duration, what string) {
-			if strings.HasPrefix(what, "pause") {
+			if strings.Contains(what, "pause g1") {
 				stop()
 			}
 		}})
 	if err != nil || !sum.Stopped || !sum.Held() {
 		t.Fatalf("%+v %v", sum, err)
 	}
-	if took := time.Since(began); took > 20*time.Second {
+	if took := time.Since(began); took > 10*time.Second {
 		t.Errorf("the end took %v", took)
 	}
 	for _, pid := range pids {
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -42,12 +43,11 @@
 	calls   map[string]*served
 	shown   string // report, measured every half second
 	shot    time.Time
-	worked  time.Duration // since the report was measured
-	conns   []net.Conn
-	lines   []func(*sip.Message) // of the open connections, oldest first
-	lineOf  map[net.Conn]int     // place in lines
-	ends    map[net.Conn]func()  // ends what writes to a connection
-	unasked bool                 // the state is told unasked
+	worked  time.Duration             // since the report was measured
+	lns     []net.Listener            // further ones, each of one peer
+	lines   []*serverLine             // the open connections, oldest first
+	unasked bool                      // the state is told unasked
+	late    map[string][]*sip.Message // releases that wait for a peer's next connection
 
 	hear  func(Seen) // nil: nobody
 	cold  time.Time  // started cold then; zero: warm
@@ -59,9 +59,30 @@
 	ids            map[string]bool // of the set-ups
 }
 
+// serverLine is one connection. Its writer has a goroutine of its own, so that the server never waits for a peer.
+type serverLine struct {
+	conn net.Conn
+	peer string // whose it is, as its listener says
+	out  chan []byte
+	over bool
+}
+
+const backMost = 1024 // messages that wait to be written to one connection
+
+// write queues a message. It never blocks: a connection that takes nothing more is closed. The server's lock is held.
+func (l *serverLine) write(m *sip.Message) {
+	if l.over {
+		return
+	}
+	select {
+	case l.out <- m.Append(nil):
+	default:
+		l.conn.Close()
+	}
+}
+
 type served struct {
-	conn   net.Conn
-	back   func(*sip.Message)
+	line   *serverLine
 	invite *sip.Message
 	stands bool
 	gone   bool
@@ -74,22 +95,35 @@
 		return nil, err
 	}
 	s := &Server{ln: ln, work: work, rng: rand.New(rand.NewPCG(seed, 1)), slow: 1, calls: map[string]*served{}, ids: map[string]bool{}, shot: time.Now(),
-		ends: map[net.Conn]func(){}, lineOf: map[net.Conn]int{}}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.conns = append(s.conns, c)
-			s.mu.Unlock()
-			go s.serve(c)
-		}
-	}()
+		late: map[string][]*sip.Message{}}
+	go s.accept(ln, "")
 	return s, nil
 }
 
+func (s *Server) accept(ln net.Listener, peer string) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c, peer)
+	}
+}
+
+// ListenFor opens one more address, for one peer alone: by it the server knows whose a connection is. What concerns a call
+// is told on its connection or any other of the same peer (PROTOCOL, gatekeepers to menu servers).
+func (s *Server) ListenFor(peer string) (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	s.lns = append(s.lns, ln)
+	s.mu.Unlock()
+	go s.accept(ln, peer)
+	return ln.Addr().String(), nil
+}
+
 // Addr is where the server listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
@@ -124,7 +158,7 @@
 	return f
 }
 
-// Status tells the server's state every so often on its connections, four at most, and at once on each new one, until ended.
+// Status tells the server's state every so often on its connections, four at most to a peer, and at once on each new one, until ended.
 func (s *Server) Status(every time.Duration) (end func()) {
 	s.mu.Lock()
 	s.unasked = true
@@ -139,12 +173,13 @@
 			case <-tick.C:
 			}
 			s.mu.Lock()
-			lines := s.lines[:min(len(s.lines), 4)]
-			m := s.state()
-			s.mu.Unlock()
-			for _, l := range lines {
-				l(m)
+			told, m := map[string]int{}, s.state()
+			for _, l := range s.lines {
+				if told[l.peer]++; told[l.peer] <= 4 {
+					l.write(m)
+				}
 			}
+			s.mu.Unlock()
 		}
 	}()
 	return sync.OnceFunc(func() { close(done) })
@@ -157,19 +192,26 @@
 
 // Kill ends the server as the death of its process does: connections are reset and every call is cut.
 func (s *Server) Kill() {
-	s.ln.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closeListeners()
 	for id, k := range s.calls {
 		k.gone = true
 		s.tell(ServerCut, id)
 	}
 	s.calls = map[string]*served{}
-	for _, c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
+	for _, l := range s.lines {
+		if t, ok := l.conn.(*net.TCPConn); ok {
 			t.SetLinger(0)
 		}
-		c.Close()
+		l.conn.Close()
+	}
+}
+
+func (s *Server) closeListeners() {
+	s.ln.Close()
+	for _, ln := range s.lns {
+		ln.Close()
 	}
 }
 
@@ -194,94 +236,80 @@
 
 // Close ends the server and its connections.
 func (s *Server) Close() {
-	s.ln.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		c.Close()
+	s.closeListeners()
+	for _, l := range s.lines {
+		l.conn.Close()
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c net.Conn, peer string) {
 	defer c.Close()
-	back := s.line(c)
-	defer s.giveUp(c)
-	for r := sip.NewReader(bufio.NewReaderSize(c, sip.MaxMessage)); ; {
-		m, err := r.Next()
-		if err != nil {
-			return
-		}
-		s.take(m, c, back)
-	}
-}
-
-const backMost = 1024 // messages that wait to be written to one connection
-
-// line gives what writes to a connection. It never blocks: one that takes nothing more is closed.
-func (s *Server) line(c net.Conn) func(*sip.Message) {
-	out := make(chan []byte, backMost)
+	l := &serverLine{conn: c, peer: peer, out: make(chan []byte, backMost)}
 	go func() {
-		for b := range out {
+		for b := range l.out {
 			if _, err := c.Write(b); err != nil {
 				c.Close()
 			}
 		}
 	}()
-	var mu sync.Mutex
-	closed := false
-	back := func(m *sip.Message) {
-		b := m.Append(nil)
-		mu.Lock()
-		defer mu.Unlock()
-		if closed {
+	s.enter(l)
+	defer s.leave(l)
+	for r := sip.NewReader(bufio.NewReaderSize(c, sip.MaxMessage)); ; {
+		m, err := r.Next()
+		if err != nil {
 			return
 		}
-		select {
-		case out <- b:
-		default:
-			c.Close()
-		}
+		s.take(m, l)
 	}
+}
+
+// enter tells a new connection the state, and the releases that waited for one.
+func (s *Server) enter(l *serverLine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lines = append(s.lines, back)
+	s.lines = append(s.lines, l)
 	if s.unasked {
-		back(s.state())
+		l.write(s.state())
 	}
-	s.ends[c] = func() {
-		mu.Lock()
-		defer mu.Unlock()
-		closed = true
-		close(out)
+	for _, m := range s.late[l.peer] {
+		l.write(m)
 	}
-	s.lineOf[c] = len(s.lines) - 1
-	return back
+	delete(s.late, l.peer)
 }
 
-// giveUp ends what a connection that is closed leaves: the set-ups open on it are given up, and calls that stand stay
-// (PROTOCOL, gatekeepers to menu servers).
-func (s *Server) giveUp(c net.Conn) {
+// leave ends what a connection that is closed leaves: the set-ups open on it are given up, and calls that stand stay.
+func (s *Server) leave(l *serverLine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.lineOf[c]
-	s.lines = append(s.lines[:at:at], s.lines[at+1:]...)
-	delete(s.lineOf, c)
-	for o, i := range s.lineOf {
-		if i > at {
-			s.lineOf[o] = i - 1
-		}
-	}
-	s.ends[c]()
-	delete(s.ends, c)
+	s.lines = slices.DeleteFunc(s.lines, func(o *serverLine) bool { return o == l })
+	l.over = true
+	close(l.out)
 	for id, k := range s.calls {
-		if k.conn == c && !k.stands && !k.gone {
+		if k.line == l && !k.stands && !k.gone {
 			k.gone = true
 			s.tell(ServerGivenUp, id)
 		}
 	}
 }
 
-func (s *Server) take(m *sip.Message, c net.Conn, back func(*sip.Message)) {
+// release tells the end of a call that stood on the connection of its set-up, else on another of that peer, else on its next.
+func (s *Server) release(own *serverLine, m *sip.Message) {
+	if !own.over {
+		own.write(m)
+		return
+	}
+	for _, l := range s.lines {
+		if l.peer == own.peer {
+			l.write(m)
+			return
+		}
+	}
+	s.late[own.peer] = append(s.late[own.peer], m)
+}
+
+func (s *Server) take(m *sip.Message, l *serverLine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := m.Get("Call-ID")
@@ -290,7 +318,7 @@
 	case "INVITE":
 		s.setups++
 		s.ids[id] = true
-		k = &served{conn: c, back: back, invite: m}
+		k = &served{line: l, invite: m}
 		s.calls[id] = k
 		s.tell(ServerSetup, id)
 		if time.Until(s.free) > s.work.Full {
@@ -298,7 +326,7 @@
 			s.do(s.work.Refuse, func() {
 				s.drop(id, k)
 				s.tell(ServerFull, id)
-				back(s.reply(m, 503).Set("X-Diagnosis", "acc"))
+				l.write(s.reply(m, 503).Set("X-Diagnosis", "acc"))
 			})
 			return
 		}
@@ -356,7 +384,7 @@
 	r := s.reply(k.invite, 200)
 	r.Body = fmt.Appendf(nil, "stands %s\r\n", id)
 	s.tell(ServerAnswered, id)
-	k.back(r)
+	k.line.write(r)
 	hold := time.Duration(s.rng.ExpFloat64() * float64(8*time.Second))
 	time.AfterFunc(hold, func() {
 		s.mu.Lock()
@@ -366,20 +394,12 @@
 				return
 			}
 			s.drop(id, k)
-			s.any(k.back, k.conn)(sip.Request("BYE", "sip:peer").Set("Via", k.invite.Get("Via")).Set("Call-ID", id).Set("CSeq", "2 BYE").
+			s.release(k.line, sip.Request("BYE", "sip:peer").Set("Via", k.invite.Get("Via")).Set("Call-ID", id).Set("CSeq", "2 BYE").
 				Set("Reason", "Q.850;cause=16").Set("X-Occupancy", s.report()))
 		})
 	})
 }
 
-// any gives the connection of a set-up, or any other where that is closed: no connection owns a call that stands.
-func (s *Server) any(own func(*sip.Message), c net.Conn) func(*sip.Message) {
-	if _, open := s.lineOf[c]; open || len(s.lines) == 0 {
-		return own
-	}
-	return s.lines[0]
-}
-
 func (s *Server) reply(m *sip.Message, status int) *sip.Message {
 	return sip.Respond(m, status, "Final").Set("X-Occupancy", s.report())
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -390,7 +390,7 @@
 	})
 	c.figures.Class(k.Class).Dispatches.Add(1)
 	at.peer.setup(Attempt{ref: ref{k.ID, at.number}, Class: k.Class, Key: k.Key, Body: k.Body,
-		Deadline: time.Now().Add(span(left))})
+		Deadline: time.Now().Add(span(left)), level: c.levelOf(a.Server)})
 }
 
 // attemptOf gives the call whose attempt is out and not yet ended, or nil: an attempt ends once.
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -28,6 +28,7 @@
 	Key      string
 	Body     []byte
 	Deadline time.Time
+	level    int // of the server, as the module held it when it decided; known while records are kept
 }
 
 // NewAttempt names an attempt.
@@ -354,7 +355,8 @@
 		}
 		if first {
 			first = false
-			l.peer.core.note(history.Event{Kind: history.Sent, Call: a.id, Attempt: a.attempt, Server: l.peer.server})
+			l.peer.core.note(history.Event{Kind: history.Sent, Call: a.id, Attempt: a.attempt, Server: l.peer.server,
+				Level: a.level})
 		}
 		// From the first byte on the set-up may run: should the line break now, that is a cut, not a NotSent.
 		l.on(func(*Peer) {
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// levelOf is the level that the module holds a server at, 0 where nothing is recorded.
+func (c *Core) levelOf(server uint32) int {
+	if c.recorder == nil {
+		return 0
+	}
+	c.views = c.module.Views(c.views[:0])
+	for _, v := range c.views {
+		if v.Server == server {
+			return v.Level
+		}
+	}
+	return 0
+}
+
 const knownWithin = 2 * time.Second
 
 // Known gives what the core and a list know now, as the events that would have told it.
