--- a/cmd/beammux/lab.go
+++ b/cmd/beammux/lab.go
@@ -22,10 +22,11 @@
 }
 
 type labFleetCmd struct {
-	Run    labRunCmd    `cmd:"" help:"Draw a fault script from a seed and play it; exit 1 if a rule was broken."`
-	Replay labReplayCmd `cmd:"" help:"Play a script again; exit 1 if a rule was broken."`
-	Draw   labDrawCmd   `cmd:"" help:"Print the script that run would play."`
-	Check  labCheckCmd  `cmd:"" help:"Judge again what a run wrote; exit 1 if a rule was broken."`
+	Run     labRunCmd     `cmd:"" help:"Draw a fault script from a seed and play it; exit 1 if a rule was broken."`
+	Replay  labReplayCmd  `cmd:"" help:"Play a script again; exit 1 if a rule was broken."`
+	Draw    labDrawCmd    `cmd:"" help:"Print the script that run would play."`
+	Compare labCompareCmd `cmd:"" help:"Put runs together by the number of gatekeepers: times to agree, cost of the gossip."`
+	Check   labCheckCmd   `cmd:"" help:"Judge again what a run wrote; exit 1 if a rule was broken."`
 }
 
 // shapeFlags say which fleet a script is drawn for.
@@ -163,3 +164,30 @@
 	}
 	return tellSummary(sum, c.JSON)
 }
+
+type labCompareCmd struct {
+	Dirs []string `arg:"" help:"Folders of runs." type:"path"`
+	Plot string   `help:"SVG file for what the gossip sends against the size of the fleet." type:"path"`
+	JSON bool     `help:"Print JSON."`
+}
+
+func (c labCompareCmd) Run() error {
+	sizes, err := fleetlab.Compare(c.Dirs)
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		image, err := fleetlab.ComparePlot(sizes)
+		if err == nil {
+			err = os.WriteFile(c.Plot, image, 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return printJSON(sizes)
+	}
+	fmt.Print(fleetlab.CompareTable(sizes))
+	return nil
+}
--- a/control/fleetcheck/fleetcheck.go
+++ b/control/fleetcheck/fleetcheck.go
@@ -79,6 +79,7 @@
 	Call    string
 	Class   string
 	Level   string
+	Health  string // of a member, in the line of a log
 	What    string
 	Span    control.Micros
 	Place   Place
--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -129,7 +129,7 @@
 	var l struct {
 		Time             time.Time
 		Level, Msg, Call string
-		Member           string
+		Member, Health   string
 	}
 	if json.Unmarshal(text, &l) != nil {
 		e := fleetcheck.Event{At: last, Kind: fleetcheck.Logged, What: strings.TrimSpace(string(text))}
@@ -138,7 +138,7 @@
 		}
 		return e
 	}
-	return fleetcheck.Event{At: control.Micros(l.Time.UnixMicro()), Kind: fleetcheck.Logged, Level: l.Level, What: l.Msg, Call: l.Call, Peer: l.Member}
+	return fleetcheck.Event{At: control.Micros(l.Time.UnixMicro()), Kind: fleetcheck.Logged, Level: l.Level, What: l.Msg, Call: l.Call, Peer: l.Member, Health: l.Health}
 }
 
 // eachLine hands on the lines of a file, counted from 1.
