--- a/control/fleetcheck/fleetcheck_test.go
+++ b/control/fleetcheck/fleetcheck_test.go
@@ -202,3 +202,68 @@
 		t.Errorf("never back: %+v", s)
 	}
 }
+
+func seen(when control.Micros, process, hash, up string) Event {
+	e := at(when, Viewed, process)
+	e.What, e.Peer = hash, up
+	return e
+}
+
+// Views agree when every gatekeeper that runs holds the same, with just those up. A kill is noticed once the others hold
+// themselves alone, and over once all hold all again; agreement that does not last is none.
+func TestViews(t *testing.T) {
+	events := []Event{at(0, Ready, "g1"), at(0, Ready, "g2"), at(0, Ready, "g3")}
+	for when := control.Micros(100); when < 12000; when += 200 {
+		switch when {
+		case 2100:
+			events = append(events, Event{At: 2000 * ms, Kind: FaultFrom, What: "kill g1"}, at(2000, Stopped, "g1"))
+		case 7100:
+			events = append(events, Event{At: 7000 * ms, Kind: FaultTo, What: "kill g1"})
+		case 7500:
+			events = append(events, at(7400, Ready, "g1"))
+		}
+		for _, g := range []string{"g1", "g2", "g3"} {
+			hash, up := "all", "g1 g2 g3"
+			switch {
+			case when > 2000 && when < 7500 && g == "g1":
+				continue
+			case when > 5000 && when < 8500 || g == "g3" && when > 4000 && when < 8500: // g3 gives g1 up a second before g2
+				hash, up = "two", "g2 g3"
+			}
+			events = append(events, seen(when, g, hash, up))
+		}
+	}
+	f := judge(t, events...).Faults[0]
+	if f.Noticed != 3100*ms || f.Agreed != 1100*ms {
+		t.Errorf("noticed after %d, agreed after %d", f.Noticed, f.Agreed)
+	}
+}
+
+// A member that is given up while it runs and nothing is in trouble breaks the rule; trouble among gatekeepers, a restart
+// or a pause shortly before excuses it.
+func TestGivenUp(t *testing.T) {
+	gave := at(40000, Logged, "g1")
+	gave.What, gave.Peer = "fleet: member given up", "g2"
+	first := called(100, Tried, "")
+	base := []Event{at(0, Ready, "g1"), at(0, Ready, "g2"), first}
+	for name, row := range map[string]struct {
+		broken int
+		events []Event
+	}{
+		"calm":             {1, nil},
+		"long ago":         {1, []Event{way(10000, Troubled, "g1", "g2"), way(20000, Healed, "g1", "g2")}},
+		"still cut":        {0, []Event{way(10000, Troubled, "g1", "g2")}},
+		"just healed":      {0, []Event{way(10000, Troubled, "g1", "g2"), way(30000, Healed, "g1", "g2")}},
+		"callers' way":     {1, []Event{way(10000, Troubled, "front-a", "g2")}},
+		"paused":           {0, []Event{at(30000, Paused, "g2"), at(39000, Woken, "g2")}},
+		"it was paused":    {0, []Event{at(30000, Paused, "g1"), at(39000, Woken, "g1")}},
+		"down":             {0, []Event{at(10000, Stopped, "g2")}},
+		"restarted":        {0, []Event{at(38000, Stopped, "g2"), at(39000, Ready, "g2")}},
+		"restarted before": {1, []Event{at(10000, Stopped, "g2"), at(11000, Ready, "g2")}},
+	} {
+		events := append(append(append([]Event{}, base...), row.events...), gave)
+		if f := find(t, judge(t, events...), RuleGiven); f.Count != row.broken || f.Excused != 1-row.broken {
+			t.Errorf("%s: %+v", name, f)
+		}
+	}
+}
--- a/control/fleetcheck/views.go
+++ b/control/fleetcheck/views.go
@@ -81,6 +81,9 @@
 	for name := range a.running {
 		names = append(names, name)
 	}
+	if len(names) == 0 {
+		return false
+	}
 	slices.Sort(names)
 	all, hash := strings.Join(names, " "), ""
 	for i, name := range names {
@@ -93,6 +96,16 @@
 	return true
 }
 
+// broken gives the first time from one on at which agreement was lost, or the end.
+func (a *agree) broken(from, end control.Micros) control.Micros {
+	for _, t := range a.turns {
+		if !t.is && t.at >= from {
+			return t.at
+		}
+	}
+	return end
+}
+
 // since gives the first time from one on at which agreement begins or is there already, and lasts; -1 if there is none.
 func (a *agree) since(from, before, end control.Micros) control.Micros {
 	for i, t := range a.turns {
@@ -116,7 +129,7 @@
 		if f.To == 0 || len(c.agree.views) == 0 {
 			continue
 		}
-		if at := c.agree.since(f.From+1, f.To, c.now); at >= 0 {
+		if at := c.agree.since(c.agree.broken(f.From, c.now), f.To, c.now); at >= 0 {
 			f.Noticed = at - f.From
 		}
 		from := f.To
--- a/internal/fleetlab/compare.go
+++ b/internal/fleetlab/compare.go
@@ -73,10 +73,17 @@
 		if err != nil {
 			return nil, err
 		}
-		sum := &Summary{Result: &fleetcheck.Result{}}
-		if err := json.Unmarshal(text, sum); err != nil {
+		var kept struct {
+			Joined float64 `json:"views_agree_after_s"`
+		}
+		if err := json.Unmarshal(text, &kept); err != nil {
 			return nil, fmt.Errorf("%s: %w", filepath.Join(dir, summaryFile), err)
 		}
+		sum, err := Check(dir)
+		if err != nil {
+			return nil, err
+		}
+		sum.Joined = kept.Joined
 		s, err := script.Load(filepath.Join(dir, "script.yaml"))
 		if err != nil {
 			return nil, err
--- a/internal/fleetlab/views_test.go
+++ b/internal/fleetlab/views_test.go
@@ -60,6 +60,10 @@
 			t.Error("the killed ones were never given up by all")
 		}
 		agreed(t, sum, 5)
+		sizes, err := Compare([]string{sum.Dir, sum.Dir})
+		if err != nil || len(sizes) != 1 || sizes[0].Runs != 2 || sizes[0].Agreed["1 kill"].N != 2 || sizes[0].Memory.N != 16 || sizes[0].Memory.Least < 5 {
+			t.Errorf("compared: %+v, %v", sizes, err)
+		}
 	})
 	t.Run("a partition of two zones and its heal", func(t *testing.T) {
 		t.Parallel()
