Fleet view: whole states while the view moves; a port that is free for both; memory read while it runs

A member now begins as ready, and while its view moves it takes whole states once a second. (2) with port 0 the library takes a TCP port whose UDP twin may be taken (g32: failed to start UDP listener): tried again with another. (3) the laboratory's memory figure counted what a child shares with its parent before it becomes itself.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,12 +37,14 @@
 	streamWithin = time.Second
 	toTheDead    = 30 * time.Second // a dead member is still told so, that it may refute
 	againEvery   = time.Second      // one lost member or seed is tried again
+	settleFor    = 5 * time.Second  // after a change of the view, states are taken at that pace
 	lookEvery    = time.Second      // the own summary is looked at
 	refreshEvery = 5 * time.Second  // and told although nothing changed, for each refreshOf members
 	refreshOf    = 8
 	leaveWithin  = 500 * time.Millisecond
 	metaMost     = memberlist.MetaMaxSize
 	nameMost     = 64
+	anyPortTries = 20
 )
 
 // ReapAfter is how long a dead member is remembered where the settings do not say.
@@ -57,6 +59,7 @@
 	Keys                        [][]byte          // of the gossip's encryption, the first encrypts; nil: not encrypted
 	Via                         map[string]string // where this member reaches others, by what they advertise
 	ReapAfter                   time.Duration     // 0: ReapAfter
+	State                       fleetview.State   // with which it begins
 	Summaries                   func() []fleetview.Summary
 	Log                         logrus.FieldLogger
 }
@@ -78,6 +81,7 @@
 	view    *fleetview.View
 	told    time.Time // when the own summary was last told
 	changes int64
+	moved   time.Time // when the view last changed
 }
 
 // meta is what a member says of itself beside its name and address.
@@ -121,8 +125,13 @@
 	}
 	now := time.Now()
 	f := &Fleet{o: o, log: o.Log, began: now, started: control.Micros(now.UnixMicro()), stop: make(chan struct{})}
-	nt, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{ip.String()}, BindPort: port,
-		Logger: f.logger()})
+	// With port 0 the library takes any free one for TCP and asks for the same for UDP, where it may be taken.
+	var nt *memberlist.NetTransport
+	var err error
+	for try := 0; try == 0 || err != nil && port == 0 && try < anyPortTries; try++ {
+		nt, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{ip.String()}, BindPort: port,
+			Logger: f.logger()})
+	}
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -134,7 +143,7 @@
 		}
 	}
 	f.view = fleetview.New(fleetview.Member{Name: o.Name, Zone: o.Zone, Region: o.Region, Program: o.Program,
-		Start: uint64(now.UnixMilli()), Seq: 1, Address: net.JoinHostPort(f.net.host.String(), fmt.Sprint(f.net.port))}, f.now(), control.Micros(o.ReapAfter.Microseconds()))
+		Start: uint64(now.UnixMilli()), Seq: 1, State: o.State, Address: net.JoinHostPort(f.net.host.String(), fmt.Sprint(f.net.port))}, f.now(), control.Micros(o.ReapAfter.Microseconds()))
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.Logger = o.Name, f.net, f.logger()
 	c.ProbeInterval, c.ProbeTimeout, c.AwarenessMaxMultiplier = probeEvery, probeWithin, 4
@@ -176,6 +185,7 @@
 	defer f.mu.Unlock()
 	for _, c := range f.view.Apply(f.now(), e) {
 		f.changes++
+		f.moved = time.Now()
 		log := f.log.WithFields(logrus.Fields{"member": c.Name, "health": c.Health.String(), "state": c.State.String(), "view": f.view.Version()})
 		switch {
 		case c.Reaped:
@@ -210,19 +220,26 @@
 	f.apply(fleetview.Event{Kind: fleetview.Own, Name: f.o.Name, Member: fleetview.Member{State: s, Servers: servers}})
 }
 
-// again tries one lost member or seed every so often.
+// again tries one lost member or seed every so often. While the view moves it takes whole states with any member instead,
+// where none is lost: what gossip misses when many change at once would else wait for the next of these, up to syncEvery.
 func (f *Fleet) again() {
 	rng := rand.New(rand.NewPCG(uint64(f.started), uint64(f.net.port)))
 	for first := true; ; first = false {
 		f.mu.Lock()
 		lost := f.view.Lost()
 		members := f.view.Members()
+		moving := time.Since(f.moved) < settleFor
 		f.mu.Unlock()
 		for _, seed := range f.o.Seeds {
 			if !slices.ContainsFunc(members, func(m fleetview.Member) bool { return m.Address == seed && m.Health.Up() }) {
 				lost = append(lost, seed)
 			}
 		}
+		if moving && len(lost) == 0 && len(members) > 1 {
+			if m := members[rng.IntN(len(members))]; m.Name != f.o.Name && m.Health.Up() {
+				lost = append(lost, m.Address)
+			}
+		}
 		wait := time.Duration(float64(againEvery) * (0.75 + 0.5*rng.Float64()))
 		if len(lost) > 0 {
 			addr := lost[rng.IntN(len(lost))]
--- a/internal/fleetlab/fleet.go
+++ b/internal/fleetlab/fleet.go
@@ -463,6 +463,7 @@
 	g.ops = ops
 	g.ready = time.Since(began)
 	f.mu.Unlock()
+	p.look()
 	f.runs.note(fleetcheck.Ready, line{Process: g.name, What: "pid " + strconv.Itoa(p.pid())})
 	return nil
 }
@@ -475,8 +476,8 @@
 	}
 	status := p.state.Sys().(syscall.WaitStatus)
 	used := ""
-	if u, ok := p.state.SysUsage().(*syscall.Rusage); ok {
-		used = fmt.Sprintf(", cpu %.2f s, memory at most %d KiB", (p.state.UserTime() + p.state.SystemTime()).Seconds(), u.Maxrss)
+	if p.peak.Load() > 0 {
+		used = fmt.Sprintf(", cpu %.2f s, memory at most %d KiB", (p.state.UserTime() + p.state.SystemTime()).Seconds(), p.peak.Load())
 	}
 	switch {
 	case !p.wasAsked(), !status.Signaled() && p.state.ExitCode() != 0:
--- a/internal/fleetlab/process.go
+++ b/internal/fleetlab/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"os/exec"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -65,6 +67,8 @@
 	state *os.ProcessState
 	err   error // why its log could not be kept
 
+	peak atomic.Int64 // most memory that it was seen to have had, KiB
+
 	mu     sync.Mutex
 	asked  bool // it was told to end, or killed by the laboratory
 	paused bool
@@ -208,8 +212,23 @@
 	}
 }
 
+// look notes the most memory that the process has had. What the kernel says of it after its end counts what it shared with
+// its parent before it became itself.
+func (p *process) look() {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid()))
+	if err != nil {
+		return
+	}
+	_, rest, _ := bytes.Cut(text, []byte("VmHWM:"))
+	var kib int64
+	if _, err := fmt.Sscan(string(rest[:min(len(rest), 40)]), &kib); err == nil && kib > p.peak.Load() {
+		p.peak.Store(kib)
+	}
+}
+
 // end ends the process by its number: SIGTERM and some time, then SIGKILL. It tells whether SIGTERM was enough.
 func (p *process) end(within time.Duration) bool {
+	p.look()
 	p.signal(syscall.SIGCONT)
 	if !p.over() && within > 0 {
 		p.signal(syscall.SIGTERM)
--- a/internal/fleetlab/views.go
+++ b/internal/fleetlab/views.go
@@ -62,6 +62,10 @@
 	defer tick.Stop()
 	for {
 		if v := f.viewOf(ctx, g); v != nil {
+			f.mu.Lock()
+			p := g.p
+			f.mu.Unlock()
+			p.look()
 			f.runs.note(fleetcheck.Viewed, line{Process: g.name, What: v.Hash, Peer: v.up(), Class: fmt.Sprintf("%d %d", v.Packets, v.Bytes)})
 		}
 		select {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	o := fleet.Options{Name: cmp.Or(d.Name, n.cfg.Name, "beammux"), Zone: d.Zone, Region: d.Region, Program: program(), Bind: d.Bind,
-		Advertise: d.Advertise, Seeds: d.Seeds, Keys: d.Keys, Via: d.Via, ReapAfter: d.ReapAfter, Summaries: n.summaries, Log: n.log}
+		Advertise: d.Advertise, Seeds: d.Seeds, Keys: d.Keys, Via: d.Via, ReapAfter: d.ReapAfter, State: fleetview.Ready, Summaries: n.summaries, Log: n.log}
 	f, err := fleet.Open(o)
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,7 +213,6 @@
 		return nil, err
 	}
 	n.ops.up.Store(true)
-	n.tellFleet(fleetview.Ready)
 	log.WithFields(logrus.Fields{"listen": n.Addr(), "calls": deploy.Calls.Version()}).Info("serving")
 	return n, nil
 }
