--- a/control/fleetcheck/fleetcheck_test.go
+++ b/control/fleetcheck/fleetcheck_test.go
@@ -233,6 +233,18 @@
 			events = append(events, seen(when, g, hash, up))
 		}
 	}
+	// Another fault half a second after they agreed again: that agreement counts, although it did not last.
+	short := []Event{}
+	for _, e := range events {
+		if e.At > 9000*ms && len(short) < len(events) {
+			short = append(short, Event{At: 9000 * ms, Kind: FaultFrom, What: "pause g2"}, at(9000, Paused, "g2"))
+			break
+		}
+		short = append(short, e)
+	}
+	if f := judge(t, short...).Faults[0]; f.Agreed != 1100*ms {
+		t.Errorf("cut short by the next fault: agreed after %d", f.Agreed)
+	}
 	f := judge(t, events...).Faults[0]
 	if f.Noticed != 3100*ms || f.Agreed != 1100*ms {
 		t.Errorf("noticed after %d, agreed after %d", f.Noticed, f.Agreed)
