--- a/cmd/beammux/fleet.go
+++ b/cmd/beammux/fleet.go
@@ -47,43 +47,44 @@
 // exitFleetOff says that a gatekeeper answers and has no fleet.
 const exitFleetOff = 4
 
-func (c fleetFlags) ask() (*fleetStatus, []byte, error) {
+// ask gives a gatekeeper's view; nil where it could not, or where it is printed as JSON already.
+func (c fleetFlags) ask() (*fleetStatus, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Admin+"/api/fleet", nil)
 	if err != nil {
-		return nil, nil, fmt.Errorf("--admin: %q is not HOST:PORT", c.Admin)
+		return nil, fmt.Errorf("--admin: %q is not HOST:PORT", c.Admin)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, nil, fault(fmt.Errorf("%s does not answer: %w", c.Admin, errors.Unwrap(err)), exitNoAnswer)
+		return nil, fault(fmt.Errorf("%s does not answer: %w", c.Admin, errors.Unwrap(err)), exitNoAnswer)
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
 	switch {
 	case err != nil:
-		return nil, nil, fault(fmt.Errorf("%s: %w", c.Admin, err), exitNoAnswer)
+		return nil, fault(fmt.Errorf("%s: %w", c.Admin, err), exitNoAnswer)
 	case resp.StatusCode == http.StatusNotFound:
-		return nil, nil, fault(fmt.Errorf("%s: %s", c.Admin, strings.TrimSpace(string(text))), exitFleetOff)
+		return nil, fault(fmt.Errorf("%s: %s", c.Admin, strings.TrimSpace(string(text))), exitFleetOff)
 	case resp.StatusCode != http.StatusOK:
-		return nil, nil, fmt.Errorf("%s answers %s", c.Admin, resp.Status)
+		return nil, fmt.Errorf("%s answers %s", c.Admin, resp.Status)
 	}
 	s := &fleetStatus{}
 	if err := json.Unmarshal(text, s); err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", c.Admin, err)
+		return nil, fmt.Errorf("%s: %w", c.Admin, err)
 	}
-	return s, text, nil
+	if c.JSON {
+		_, err := os.Stdout.Write(text)
+		return nil, err
+	}
+	return s, nil
 }
 
 type fleetMembersCmd struct{ fleetFlags }
 
 func (c fleetMembersCmd) Run() error {
-	s, text, err := c.ask()
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		_, err = os.Stdout.Write(text)
+	s, err := c.ask()
+	if s == nil {
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
@@ -106,12 +107,8 @@
 type fleetViewCmd struct{ fleetFlags }
 
 func (c fleetViewCmd) Run() error {
-	s, text, err := c.ask()
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		_, err = os.Stdout.Write(text)
+	s, err := c.ask()
+	if s == nil {
 		return err
 	}
 	fmt.Printf("view %d of %s, hash %s\n", s.View, s.Name, s.Hash)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,7 +42,6 @@
 	refreshEvery = 5 * time.Second  // and told although nothing changed, for each refreshOf members
 	refreshOf    = 8
 	leaveWithin  = 500 * time.Millisecond
-	metaMost     = memberlist.MetaMaxSize
 	nameMost     = 64
 	anyPortTries = 20
 )
--- a/internal/fleetlab/fleet.go
+++ b/internal/fleetlab/fleet.go
@@ -78,13 +78,12 @@
 }
 
 type gatekeeper struct {
-	name   string
-	index  int
-	start  int // counted from 1
-	p      *process
-	ready  time.Duration // from its last start
-	ops    string        // operators' address of its last start
-	cancel context.CancelFunc
+	name  string
+	index int
+	start int // counted from 1
+	p     *process
+	ready time.Duration // from its last start
+	ops   string        // operators' address of its last start
 }
 
 type server struct {
--- a/internal/fleetlab/script/draw.go
+++ b/internal/fleetlab/script/draw.go
@@ -127,17 +127,12 @@
 		f.Rate = whole(4, 64) << 10
 	case "reset":
 		links()
-		f.Bytes = one2(rng, 0, whole(200, 4000))
+		if f.Bytes = whole(200, 4000); rng.IntN(2) == 0 {
+			f.Bytes = 0
+		}
 	case "loss", "duplicate", "reorder":
 		f.From, f.To, f.Part = "gatekeepers", "gatekeepers", float64(whole(5, 40))/100
 	default: // blackhole, refuse
 		links()
 	}
 }
-
-func one2(rng *rand.Rand, a, b int) int {
-	if rng.IntN(2) == 0 {
-		return a
-	}
-	return b
-}
--- a/internal/relay/network.go
+++ b/internal/relay/network.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"time"
 )
@@ -74,14 +73,6 @@
 	return nil
 }
 
-// Condition tells what is in force from one process to another.
-func (n *Network) Condition(from, to string) Condition {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c, _ := n.direction(from, to).now()
-	return c
-}
-
 // Cut cuts or heals one direction for each pair of two sets of processes; other parts of the conditions stay.
 func (n *Network) Cut(from, to []string, cut bool) {
 	n.mu.Lock()
@@ -172,20 +163,6 @@
 	}
 }
 
-// Links lists the ends of all links, sorted.
-func (n *Network) Links() [][2]string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := make([][2]string, 0, len(n.links))
-	for ends := range n.links {
-		out = append(out, ends)
-	}
-	sort.Slice(out, func(i, j int) bool {
-		return out[i][0] < out[j][0] || out[i][0] == out[j][0] && out[i][1] < out[j][1]
-	})
-	return out
-}
-
 // Traffic is what passed one way between two processes.
 type Traffic struct{ Bytes, Packets, Dropped int64 }
 
--- a/internal/relay/overhead_test.go
+++ b/internal/relay/overhead_test.go
@@ -9,7 +9,7 @@
 )
 
 // What a link adds to a message there and back (a set-up's size), in turn with the same over a plain connection in the same
-// run. A call goes by two links, to the gatekeeper and on to the server, so it takes this twice.
+// run. What it adds to a whole call is measured in fleetlab (BenchmarkRelayOnACall).
 //
 //	go test -run '^$' -bench Overhead -benchtime 20000x ./internal/relay
 func BenchmarkOverhead(b *testing.B) {
