Cold ramp: shares come by systematic sampling, so that their sum holds for the fleet

Seen: each gatekeeper drew its lots of a server for each slot by itself, so their sum scattered by the root of their number. Lines at fault: mayTake's s.lot = int(x + random).

Now a front's lots follow from its share of all slots so far and a place among the fronts that hangs on the server's id and the settings' position alone. A lot not used in its slot is lost, as before. Where no position is told, each begins at random.

Not taken: keeping unused lots for later slots (300 saved lots meet one shift of traffic); exact places i/n (a zone's fronts are a row of them, and the golden ratio's step spreads each row too).

--- a/control/control.go
+++ b/control/control.go
@@ -94,10 +94,11 @@
 	told     [2]float64 // queue and use of its processor as last reported
 	rate     float64    // own set-ups answered, a second
 	rateAt   Micros
-	lotEnd   Micros // when the lot of this front's share ends
-	lot      int    // set-ups left in it
-	answered Micros // when the latest set-up answered here was sent: the line is first in, first out
-	heard    Micros // last sign of life
+	lotEnd   Micros  // when the lot of this front's share ends
+	lot      int     // set-ups left in it
+	drawn    float64 // its share of all slots so far, from where its lots begin
+	answered Micros  // when the latest set-up answered here was sent: the line is first in, first out
+	heard    Micros  // last sign of life
 	noted    Micros
 	verdict  int // set-ups that a verdict of the fleet leaves room for, under 0 where there is none
 }
@@ -309,6 +310,10 @@
 	*s = server{id: s.id, out: s.out, spare: -1, seen: c.now, rateAt: c.now, noted: s.noted, total: s.total,
 		verdict: -1}
 	s.lotEnd = c.now + Micros(c.rng.Float64()*float64(c.slot)) // not all fronts draw at once
+	s.drawn = spread(s.id, c.set.Position)
+	if c.set.Position < 0 { // not told: each for itself
+		s.drawn = c.rng.Float64()
+	}
 	s.fallFor = Micros(silentFall * (1 + fallJitter*c.rng.Float64()))
 	return s
 }
@@ -563,12 +568,14 @@
 
 // mayTake tells whether one more set-up keeps to this front's share of a server (Exception). It is the own
 // rate to a warm server, cut to what a cold one does: over all fronts that is about what it can do. It
-// is drawn as a lot for each slot: fronts with little traffic send one now and then and not one each.
+// comes as lots, one slot at a time, by systematic sampling: fronts with little traffic send one now and
+// then and not one each, and since the lots of each begin at another place, their sum is steady.
 func (c *Controller) mayTake(s *server) bool {
 	if c.now < s.lotEnd {
 		return s.lot > 0
 	}
-	s.lotEnd += (c.now - s.lotEnd + c.slot) / c.slot * c.slot
+	slots := (c.now - s.lotEnd + c.slot) / c.slot
+	s.lotEnd += slots * c.slot
 	part := shareOver
 	if c.cold(s) {
 		warmed := float64(c.now-s.since) / float64(c.set.WarmWithin)
@@ -581,7 +588,10 @@
 	if c.cold(s) {
 		rate = c.seenUnit * max(1, s.total)
 	}
-	s.lot = int(max(floor, part*rate)*float64(c.slot)/1e6 + c.rng.Float64())
+	x := max(floor, part*rate) * float64(c.slot) / 1e6
+	before := math.Floor(s.drawn + float64(slots-1)*x) // what came due without a call is not saved up
+	s.drawn += float64(slots) * x
+	s.lot = int(math.Floor(s.drawn) - before)
 	return s.lot > 0
 }
 
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -14,6 +14,11 @@
 	now  Micros
 	due  []due
 	sent map[uint32][]Micros
+
+	set    *Settings          // of the fronts that start
+	lines  map[uint32]float64 // of a server, 1000 where not named
+	pick   func() int         // the front of the next call; nil: any
+	choose func() int         // its first choice; nil: any
 }
 
 type due struct {
@@ -24,7 +29,10 @@
 
 func newFleet(t *testing.T, fronts int, seed uint64, list ...Entry) *fleet {
 	fl := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 9)), now: 1e9, sent: map[uint32][]Micros{}}
+	set := testSettings()
+	fl.set = &set
 	for i := range fronts {
+		fl.set.Position = i
 		fl.fs = append(fl.fs, fl.start(seed*1000+uint64(i), fronts, list...))
 	}
 	return fl
@@ -32,7 +40,7 @@
 
 // start makes a front that knows nothing yet but the list and each pool's agents.
 func (fl *fleet) start(seed uint64, fronts int, list ...Entry) *front {
-	set := testSettings()
+	set := *fl.set
 	set.Fronts = fronts
 	f := &front{t: fl.t, c: New(set, seed), now: fl.now}
 	f.do(Start{})
@@ -44,7 +52,11 @@
 	f.now = max(f.now, fl.now)
 	f.servers(list...)
 	for _, e := range list {
-		f.do(Status{Server: e.Server, Code: OK, Report: []float64{900, 1000, -1}})
+		lines := fl.lines[e.Server]
+		if lines == 0 {
+			lines = 1000
+		}
+		f.do(Status{Server: e.Server, Code: OK, Report: []float64{0.9 * lines, lines, -1}})
 	}
 }
 
@@ -58,10 +70,14 @@
 			d.f.pass(max(d.at, d.f.now) - d.f.now)
 			fl.watch(d.f, d.f.do(d.event), answer)
 		}
-		f := fl.fs[fl.rng.IntN(len(fl.fs))]
+		pick, choose := func() int { return fl.rng.IntN(len(fl.fs)) }, func() int { return fl.rng.IntN(choices) }
+		if fl.pick != nil {
+			pick, choose = fl.pick, fl.choose
+		}
+		f := fl.fs[pick()]
 		before := len(f.acts)
 		f.pass(max(fl.now, f.now) - f.now)
-		f.call(0, fl.rng.IntN(choices))
+		f.call(0, choose())
 		fl.watch(f, f.acts[before:], answer)
 		f.acts = f.acts[:0]
 	}
@@ -127,6 +143,7 @@
 		cold[3] = Entry{Server: 50, Cell: 3, State: Ready, Since: started}
 		for i, f := range fl.fs {
 			if i%10 == 0 {
+				fl.set.Position = i
 				fl.fs[i] = fl.start(9000+uint64(i), fronts, cold...)
 			} else {
 				fl.list(f, cold...)
--- a/control/interface.go
+++ b/control/interface.go
@@ -44,7 +44,7 @@
 
 // Settings are the facts that a front knows when it starts.
 type Settings struct {
-	Fronts                      int
+	Fronts, Position            int // how many fronts there are, and the place of this one among them: from 0, or -1 where it is not told
 	Here                        int // own exchange, -1 for none
 	Classes                     []Class
 	Tenants                     []Tenant
--- a/control/settings.go
+++ b/control/settings.go
@@ -56,7 +56,7 @@
 	}
 	var d decoder
 	s := &Site{Settings: Settings{
-		Fronts: d.int(v, "balancers"), Here: -1, OverShareWorth: d.float(v, "over-share-worth"),
+		Fronts: d.int(v, "balancers"), Position: -1, Here: -1, OverShareWorth: d.float(v, "over-share-worth"),
 		AttemptsCap: d.int(v, "bounds", "attempts-cap"), Cancel: d.bool(v, "bounds", "cancel"),
 		RetryAfter: d.bool(v, "bounds", "retry-after"), Ask: d.text(v, "discovery") == "subscribe",
 		MaxRetryAfter: d.micros(v, "bounds", "max-retry-after-us"),
@@ -69,6 +69,9 @@
 	s.DialTimeout, s.KeepAlive = d.micros(v, "bounds", "dial-timeout-us"), d.micros(v, "bounds", "keepalive-us")
 	s.AnswerSlack = d.micros(v, "guarantees", "answer-slack-us")
 	s.DrainGrace = d.micros(v, "guarantees", "drain-grace-us")
+	if v.Exists("position") {
+		s.Position = d.int(v, "position")
+	}
 	if v.Exists("extra", "here") {
 		s.Here = d.int(v, "extra", "here")
 	}
