--- a/cmd/beammux/serve.go
+++ b/cmd/beammux/serve.go
@@ -58,12 +58,18 @@
 	if err != nil {
 		return err
 	}
-	for {
+	term, drained := ctx.Done(), make(chan struct{})
+	for { // SIGHUP counts to the end: while it drains, the list must not fall silent either
 		select {
 		case <-hup:
 			n.Reload(s.Config, s.Deploy)
-		case <-ctx.Done():
-			n.Drain()
+		case <-term:
+			term = nil
+			go func() {
+				defer close(drained)
+				n.Drain()
+			}()
+		case <-drained:
 			return nil
 		}
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -624,6 +624,10 @@
 	}
 	c.calls[e.ID] = k
 	c.count(k)
+	if e.Excess {
+		c.refuse(k)
+		return
+	}
 	c.place(k)
 }
 
--- a/control/interface.go
+++ b/control/interface.go
@@ -142,6 +142,7 @@
 	DropDead                Micros
 	FirstChoice             int // cell
 	Repeat, Transit, WasCut bool
+	Excess                  bool    // more than its front takes: to be refused at once
 	Limits                  *Limits // nil: those of the settings
 	Quota                   Quota   // nil: none
 }
--- a/control/warm/warm.go
+++ b/control/warm/warm.go
@@ -5,7 +5,7 @@
 // half-life of its own, and whatever casts doubt on the memory takes away all that hangs on it:
 //
 //   - a server that restarted, was replaced or is cold is known anew: nothing of the old process counts (package control);
-//   - other settings than before: waits, thinning and the mix of worth are scaled by them, so they are forgotten;
+//   - other settings than before: it is another deployment, and nothing is kept;
 //   - a clock that stands before the memory, or a memory without a time: its age is not known, and only what hardly ages is
 //     kept, at half its weight;
 //   - a memory older than a day: nothing is kept.
@@ -61,6 +61,9 @@
 	if !sound(m.Learned) {
 		return l, NoSuchValue, false
 	}
+	if m.Settings != settings {
+		return l, OtherRules, false
+	}
 	age := float64(now) - float64(m.Learned.At) // as floats: any two times have a difference
 	switch {
 	case m.Learned.At <= 0:
@@ -89,12 +92,6 @@
 	}
 	l.Unit = m.Learned.Unit * slow(unitHalf)
 	l.Loss = m.Learned.Loss * fade(lossHalf)
-	if m.Settings != settings {
-		if doubt == None {
-			doubt = OtherRules
-		}
-		return l, doubt, true
-	}
 	if w := fade(mixHalf); w > 0 {
 		l.Mix = make([]float64, len(m.Learned.Mix))
 		for i, v := range m.Learned.Mix {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -27,21 +27,23 @@
 )
 
 // memoryFile is where the memory is kept: beside the store, else in $TMPDIR, which a process that is started beside this
-// one for a hand-over shares (DAYS, replacing the process) and any other start finds empty. "" is nowhere: without a name
-// or $TMPDIR nothing says whose memory it would be.
+// one for a hand-over shares (DAYS, replacing the process) and any other start finds empty. Where several deployments share
+// $TMPDIR, each has a file of its own, by name, address and settings. "" is nowhere: without a name or $TMPDIR nothing says
+// whose memory it would be.
 func (n *Node) memoryFile() string {
 	switch tmp := os.Getenv("TMPDIR"); {
 	case n.deploy.StoreDir != "":
 		return filepath.Join(n.deploy.StoreDir, memoryFile)
 	case tmp != "" && n.cfg.Name != "":
-		return filepath.Join(tmp, "beammux-"+url.PathEscape(n.cfg.Name)+"-"+memoryFile)
+		whose := fmt.Sprintf("%016x", xxhash.Sum64String(n.cfg.Listen+" "+settingsName(n.cfg.Site)))
+		return filepath.Join(tmp, "beammux-"+url.PathEscape(n.cfg.Name)+"-"+whose+"-"+memoryFile)
 	}
 	return ""
 }
 
-// settingsName names the settings that something was learned under.
+// settingsName names the settings that something was learned under, names of classes and the like included.
 func settingsName(s *control.Site) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%+v", s.Settings)))
+	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%+v", *s)))
 }
 
 // recall gives the module what this gatekeeper had learned before it ended, as far as it still counts.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,8 @@
 	takeFor     = 500 * time.Millisecond // after SIGTERM new connections are taken for this long
 	openFor     = 700 * time.Millisecond // and set-ups on open ones
 	flushFor    = 300 * time.Millisecond // for what is queued at the end
+	goOnFor     = time.Second            // and beyond it, callers may go on before they are refused
+	settleEvery = 5 * time.Millisecond   // between looks at what is left at the end
 	ownFiles    = 24                     // descriptors that are neither callers' nor servers'
 	plainFiles  = 1024
 	dialTimeout = 500 * time.Millisecond
@@ -404,16 +406,9 @@
 		n.agent.Drain()
 	}
 	time.Sleep(takeFor)
-	n.listener.Close()
+	n.listener.Stop()
 	time.Sleep(openFor - takeFor)
-	drained := make(chan struct{}, 1)
-	n.core.Drained(func() {
-		select {
-		case drained <- struct{}{}:
-		default:
-		}
-	})
-	<-drained
+	n.settle()
 	n.listener.Finish(flushFor)
 	if n.agent != nil {
 		n.agent.Close()
@@ -433,6 +428,35 @@
 	n.log.Info("drained")
 }
 
+// settle waits until nothing is owed and no connection is left on which something could come to be: what is read after the
+// last look at "nothing is owed" is on a connection that stays open until it is answered too. Callers who go on sending don't
+// hold the process: once all was answered, or after goOnFor, what still comes is refused, and bytes that nobody has read
+// keep no connection open.
+func (n *Node) settle() {
+	var late atomic.Bool
+	turnAway := func() {
+		n.front.TurnAway()
+		if n.agent != nil {
+			n.agent.TurnAway()
+		}
+	}
+	goOn := time.AfterFunc(goOnFor, func() {
+		late.Store(true)
+		turnAway()
+	})
+	defer goOn.Stop()
+	for {
+		drained := make(chan struct{})
+		n.core.Drained(func() { close(drained) })
+		<-drained
+		if n.listener.FinishIdle(late.Load()) {
+			return
+		}
+		turnAway()
+		time.Sleep(settleEvery)
+	}
+}
+
 // ---- Store ----
 
 func (n *Node) openStore(begin context.Context) error {
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -25,7 +25,7 @@
 	keepOrphan   = 8 * time.Second // a release without any connection waits so long for one
 	maxWaiting   = 4096            // releases that so wait
 	maxLeft      = 10 * time.Minute
-	maxOpen      = 512 // set-ups of one connection; what comes beyond is read once some are answered
+	maxOpen      = 512 // set-ups of one connection; what comes beyond is excess, and refused
 )
 
 // The times that a connection has. Silent and finished callers must not hold descriptors for good.
@@ -34,6 +34,9 @@
 	wholeWithin = 2 * time.Second         // for a message that has begun
 	idleFor     = 10 * time.Second        // without a call on it; callers themselves close after 4 s
 	settleFor   = 2 * time.Second         // to answer what is open after a message that can't be read
+	lookAgain   = 10 * time.Millisecond   // before an idle close: bytes may lie ready while this process got no processor time
+	breathe     = 20 * time.Millisecond   // for the core to decide what has come before more of it is excess
+	skimGap     = time.Millisecond        // between reads of what is dropped
 )
 
 var errClosing = errors.New("connection is being closed")
@@ -56,6 +59,7 @@
 	classes  map[string]int
 	log      logrus.FieldLogger
 	draining atomic.Bool
+	closing  atomic.Bool
 
 	mu      sync.Mutex
 	conns   []*conn          // open ones, oldest first
@@ -80,6 +84,9 @@
 // Drain fails the tests that are asked for from now on, so that no new callers are led here.
 func (f *Front) Drain() { f.draining.Store(true) }
 
+// TurnAway refuses the set-ups that come from now on: the process ends once what came before is answered.
+func (f *Front) TurnAway() { f.closing.Store(true) }
+
 // Rejoin passes the tests again.
 func (f *Front) Rejoin() { f.draining.Store(false) }
 
@@ -121,9 +128,10 @@
 // conn is one connection of callers and the set-ups that came on it and are not answered.
 type conn struct {
 	*transport.Conn
-	mu   sync.Mutex
-	open map[string]*caller
-	room chan struct{} // told when a set-up ends
+	mu     sync.Mutex
+	open   map[string]*caller
+	room   chan struct{} // told when a set-up ends
+	excess bool          // more is open than is taken; the reader's alone
 }
 
 func (c *conn) send(m Message) bool {
@@ -161,25 +169,61 @@
 	return c.open[id]
 }
 
-// await blocks while more than some set-ups are open, until a time or the end of the connection.
-func (c *conn) await(most int, limit <-chan time.Time) {
-	for {
-		c.mu.Lock()
-		n := len(c.open)
-		c.mu.Unlock()
-		if n <= most {
-			return
-		}
+func (c *conn) owed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// await blocks while more than some set-ups are open, until a time, the end of the connection, or that the caller has left.
+func (c *conn) await(most int, limit <-chan time.Time, left <-chan struct{}) {
+	for c.owed() > most {
 		select {
 		case <-c.room:
 		case <-limit:
 			return
+		case <-left:
+			return
 		case <-c.Gone():
 			return
 		}
 	}
 }
 
+// bound keeps what a flood has open within bounds. The reader must come to the end of what was sent, since only there it
+// learns that the caller has left; so a flood is not left unread. It is excess, until half of what is open has its answer;
+// the refusals are decided in the core's turn, and waited for.
+func (c *conn) bound() {
+	switch n := c.owed(); {
+	case n <= maxOpen/2:
+		c.excess = false
+	case n >= 2*maxOpen:
+		c.await(2*maxOpen-1, nil, nil)
+	case n >= maxOpen && !c.excess:
+		c.await(maxOpen-1, time.After(breathe), nil)
+		c.excess = c.owed() >= maxOpen
+	}
+}
+
+// settle gives what came before a fault its time to be answered. What still comes is read and dropped, so that it is seen when
+// the caller leaves.
+func (c *conn) settle() {
+	limit := time.Now().Add(settleFor)
+	c.SetReadDeadline(limit)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		for drop := make([]byte, 4<<10); ; time.Sleep(skimGap) {
+			if _, err := c.Read(drop); err != nil {
+				return
+			}
+		}
+	}()
+	c.await(0, time.After(time.Until(limit)), left)
+	c.SetReadDeadline(time.Now())
+	<-left
+}
+
 // Serve reads one connection until it ends.
 func (f *Front) Serve(tc *transport.Conn) {
 	c := &conn{Conn: tc, open: map[string]*caller{}, room: make(chan struct{}, 1)}
@@ -205,18 +249,18 @@
 		}
 		switch {
 		case err == nil:
-			c.await(maxOpen, nil) // what a flood sends waits in its own connection
+			c.bound()
 		case errors.Is(err, ErrTooLong), errors.Is(err, ErrMalformed):
 			log.WithError(err).Warn("bad message: connection closed")
 			seen(false)
-			c.await(0, time.After(settleFor)) // calls that came before it are still owed their answer
+			c.settle()
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			log.Debug("caller is silent: connection closed")
 			if !first.IsZero() {
 				seen(false)
 			}
-			c.await(0, time.After(settleFor))
+			c.settle()
 			return
 		default:
 			if ne := net.Error(nil); errors.As(err, &ne) {
@@ -239,6 +283,10 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.InUse() {
 			continue // its caller waits for an answer, or for the end of a call
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.SetReadDeadline(time.Now().Add(lookAgain))
+			err = r.Wait()
+		}
 		if err != nil {
 			return Message{}, err
 		}
@@ -300,21 +348,31 @@
 	}
 }
 
-// deliver sends a release on a connection, else on any other, newest first, else on the next that comes.
+// deliver sends a release on a connection, else on any other, newest first, else on the next that comes. One whose connection
+// ends before it is written goes the same way again.
 func (f *Front) deliver(c *conn, w late) {
-	if c != nil && c.Send(transport.Packet{Data: w.data}) == nil {
+	send := func(c *conn) bool {
+		return !c.Left() && c.Send(transport.Packet{Data: w.data, Done: func(err error) {
+			if err != nil {
+				f.deliver(nil, w)
+			}
+		}}) == nil
+	}
+	if c != nil && send(c) {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := len(f.conns) - 1; i >= 0; i-- {
-		if f.conns[i].Send(transport.Packet{Data: w.data}) == nil {
+		if send(f.conns[i]) {
 			return
 		}
 	}
 	now := time.Now()
 	f.waiting = slices.DeleteFunc(f.waiting, func(w late) bool { return now.After(w.till) })
-	f.waiting = append(f.waiting[max(0, len(f.waiting)+1-maxWaiting):], w)
+	if now.Before(w.till) {
+		f.waiting = append(f.waiting[max(0, len(f.waiting)+1-maxWaiting):], w)
+	}
 }
 
 // take acts on one message. A fault ends the connection.
@@ -325,6 +383,7 @@
 	case "close":
 		var own routing.Caller
 		if k := c.caller(m.ID); k != nil {
+			k.cancelled.Store(true)
 			c.done(k)
 			own = k
 		}
@@ -372,6 +431,7 @@
 	if !c.add(k) {
 		return errClosing
 	}
+	s.Excess = c.excess || f.closing.Load()
 	f.core.Open(s, k)
 	return nil
 }
@@ -424,15 +484,28 @@
 
 // caller is the way back to one call's caller.
 type caller struct {
-	front *Front
-	conn  *conn
-	id    string
+	front     *Front
+	conn      *conn
+	id        string
+	cancelled atomic.Bool
 }
 
+func (k *caller) Gone() bool { return k.cancelled.Load() || k.conn.Left() }
+
 func (k *caller) Answer(body []byte) bool {
 	k.front.stand(k)
 	defer k.conn.done(k) // not before the answer is queued: a connection with nothing owed may be closed
-	return k.conn.send(Message{Type: "ready", ID: k.id, Text: string(body)})
+	m := Message{Type: "ready", ID: k.id, Text: string(body)}
+	err := k.conn.Send(transport.Packet{Data: m.Append(nil), Done: func(err error) {
+		if err != nil { // the caller never had it whole, and would never end the call
+			k.front.over(k.id)
+			k.front.core.Hangup(k.id, causeNormal, nil, func(bool) {})
+		}
+	}})
+	if err != nil {
+		k.front.over(k.id)
+	}
+	return err == nil
 }
 
 func (k *caller) Refuse(wait time.Duration) {
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -62,6 +62,7 @@
 	byID     map[string]*dialog         // by the core's id and side
 	lines    map[string]*line           // by the server's address
 	draining bool
+	closing  bool // set-ups are refused: the process ends
 	once     sync.Once
 }
 
@@ -133,6 +134,9 @@
 // the module alone.
 func (a *Agent) Drain() { a.Post(func() { a.draining = true }) }
 
+// TurnAway refuses the set-ups that come from now on: the process ends once what came before is answered.
+func (a *Agent) TurnAway() { a.Post(func() { a.closing = true }) }
+
 // Close ends the agent's sockets, once it has sent what it was told to send.
 func (a *Agent) Close() { a.once.Do(a.close) }
 
@@ -274,6 +278,9 @@
 			if a.conns[key] == c {
 				delete(a.conns, key)
 			}
+			if c.Left() {
+				a.left(c)
+			}
 			c.Finish()
 			if l != nil {
 				l.down(err)
@@ -283,6 +290,23 @@
 	}
 }
 
+// left gives up the set-ups that came on a connection which its caller has closed. RFC 3261 would let their answers go on a
+// new one (18.2.2); to the operators a client that closes its connection has gone, and nobody waits for an answer.
+func (a *Agent) left(c *transport.Conn) {
+	for t, k := range a.calls {
+		if k.conn == c {
+			a.core.Withdraw(k.id, k, func(inTime bool) {
+				if inTime {
+					a.Post(func() {
+						k.settled()
+						t.end()
+					})
+				}
+			})
+		}
+	}
+}
+
 // connect gives a TCP connection to an address: an open one, or a new one. then runs in the actor.
 func (a *Agent) connect(addr string, then func(*transport.Conn, error)) {
 	if c := a.conns[addr]; c != nil {
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -524,3 +524,95 @@
 		}
 	})
 }
+
+func cancelOf(invite *sip.Message) *sip.Message {
+	return sip.Request("CANCEL", invite.URI).Set("Via", invite.Get("Via")).Set("From", invite.Get("From")).
+		Set("To", invite.Get("To")).Set("Call-ID", invite.Get("Call-ID")).Set("CSeq", "1 CANCEL")
+}
+
+// A caller that closes its TCP connection has gone: its set-up is cancelled at the server within 0.1 s.
+func TestClosedConnectionGivesTheSetupUp(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		server := New(t, silent)
+		b := newBench(t, 5*time.Second, host("s-1", server.URI(proto), 0))
+		caller := New(t, nil)
+		caller.Send("TCP", b.agent.Addr("TCP"), caller.Invite("TCP", "abc", "1", ""))
+		server.Wait("INVITE", Is("INVITE"))
+		caller.Wait("100", Status(100, "INVITE"))
+		left := time.Now()
+		caller.Stop()
+		if e := server.Wait("CANCEL", Is("CANCEL")); e.At.Sub(left) > 100*time.Millisecond {
+			t.Errorf("cancelled after %v", e.At.Sub(left))
+		}
+	})
+}
+
+// And no further attempt begins for one who closed, or cancelled, while its call waited for it.
+func TestNoFurtherAttemptForOneWhoLeft(t *testing.T) {
+	for _, how := range []string{"close", "cancel"} {
+		t.Run(how, func(t *testing.T) {
+			first, second := New(t, refusing(504)), New(t, answering)
+			b := newBench(t, 5*time.Second, host("s-1", first.URI("TCP"), 0), host("s-2", second.URI("TCP"), 1))
+			caller := New(t, nil)
+			invite := caller.Invite("TCP", "abc", "1", "").Set("X-Dest", "0")
+			send := caller.Send("TCP", b.agent.Addr("TCP"), invite)
+			first.Wait("ACK", Is("ACK"))
+			if how == "close" {
+				caller.Stop()
+			} else {
+				send(cancelOf(invite))
+				caller.Wait("487", Status(487, "INVITE"))
+			}
+			other := New(t, nil) // a later call shows that the guard's time has passed
+			time.Sleep(400 * time.Millisecond)
+			other.Send("UDP", b.agent.Addr("UDP"), other.Invite("UDP", "later", "2", "").Set("X-Dest", "1"))
+			second.Wait("INVITE", Is("INVITE"))
+			if n := second.Count(Is("INVITE")); n != 1 {
+				t.Errorf("%d INVITEs at the second server, want that of the later call alone", n)
+			}
+		})
+	}
+}
+
+// Over UDP a set-up that was given up before any response is not sent again, and it is cancelled once a response comes.
+func TestGivenUpIsNotRetransmitted(t *testing.T) {
+	server := New(t, nil)
+	b := newBench(t, 5*time.Second, host("s-1", server.URI("UDP"), 0))
+	caller := New(t, nil)
+	invite := caller.Invite("UDP", "abc", "1", "")
+	send := caller.Send("UDP", b.agent.Addr("UDP"), invite)
+	e := server.Wait("INVITE", Is("INVITE"))
+	send(cancelOf(invite))
+	caller.Wait("487", Status(487, "INVITE"))
+	n := server.Count(Is("INVITE"))
+	time.Sleep(10 * quick.T1) // three copies would be due
+	if more := server.Count(Is("INVITE")); more > n+1 { // one may have been on its way
+		t.Errorf("%d copies went out after it was given up", more-n)
+	}
+	e.Back(server.Reply(e.Msg, 180, "Ringing", ""))
+	server.Wait("CANCEL", Is("CANCEL"))
+}
+
+// Once it is to turn away, an INVITE is refused at once, and one that came before is still answered.
+func TestTurnAway(t *testing.T) {
+	each(t, func(t *testing.T, proto string) {
+		release := make(chan struct{})
+		server := New(t, func(p *Party, e Entry) {
+			if Is("INVITE")(e.Msg) {
+				go func() { <-release; answering(p, e) }()
+			}
+		})
+		b := newBench(t, 5*time.Second, host("s-1", server.URI(proto), 0))
+		first, second := New(t, nil), New(t, nil)
+		first.Send(proto, b.agent.Addr(proto), first.Invite(proto, "abc", "1", ""))
+		server.Wait("INVITE", Is("INVITE"))
+		b.agent.TurnAway()
+		second.Send(proto, b.agent.Addr(proto), second.Invite(proto, "def", "2", ""))
+		second.Wait("503", Status(503, "INVITE"))
+		close(release)
+		first.Wait("200", Status(200, "INVITE"))
+		if n := server.Count(Is("INVITE")); n != 1 {
+			t.Errorf("%d INVITEs at the server", n)
+		}
+	})
+}
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -121,7 +121,12 @@
 		return
 	}
 	if ok {
-		l.write(request("CANCEL", id, s.Key, "CANCEL"))
+		// A set-up that was dropped unsent, ahead of this in the queue, has nothing to cancel.
+		l.conn.Send(transport.Packet{Data: request("CANCEL", id, s.Key, "CANCEL").Append(nil), Still: func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.out[id].cancelled
+		}})
 		// Its final response may never come; an answer that crossed the CANCEL comes soon.
 		time.AfterFunc(10*time.Second, func() {
 			l.mu.Lock()
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -297,3 +297,27 @@
 		t.Errorf("the mute line is still open: %v", err)
 	}
 }
+
+// A set-up that is given up before its first byte leaves nothing on the wire: neither itself nor a CANCEL of it.
+func TestGivenUpUnsentLeavesNothingOnTheWire(t *testing.T) {
+	b := newPlatformBench(t)
+	attempt := func(id string) routing.Attempt {
+		a := routing.NewAttempt(id, 0)
+		a.Key, a.Deadline = "7f3a", time.Now().Add(time.Second)
+		return a
+	}
+	wait, asked := make(chan bool), make(chan struct{})
+	b.line.Setup(attempt("1"), func() bool { close(asked); return <-wait })
+	<-asked
+	b.line.Cancel("1")
+	wait <- false
+	b.event(ended{"7f3a", routing.Outcome{Code: control.NotSent}})
+	b.line.Release("2", 16)
+	if m := b.next("BYE"); m.Get("Call-ID") != "2" {
+		t.Errorf("first on the wire: %s %s", m.Method, m.Get("Call-ID"))
+	}
+	b.line.Setup(attempt("3"), func() bool { return true })
+	b.line.Cancel("3")
+	b.next("INVITE")
+	b.next("CANCEL")
+}
--- a/internal/protocol/sip/transaction.go
+++ b/internal/protocol/sip/transaction.go
@@ -72,6 +72,7 @@
 	state      txState
 	timers     timers
 	still      func() bool
+	hushed     bool // given up before any response: no further copy goes out, and a late response is still heard
 	ack        []byte
 	onResponse func(*Message)
 	onEnd      func(error) // without a final response
@@ -137,7 +138,7 @@
 }
 
 func (t *clientTx) again(gap time.Duration) {
-	if t.invite() && t.state != calling || t.state >= completed {
+	if t.invite() && t.state != calling || t.state >= completed || t.hushed {
 		return
 	}
 	if !t.transmit(false) {
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -221,6 +221,7 @@
 		if u.tx.state == proceeding {
 			u.cancel()
 		}
+		u.tx.hushed = true
 	})
 }
 
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"beammux/internal/routing"
@@ -16,7 +17,9 @@
 	agent  *Agent
 	tx     *serverTx
 	flow   flow
-	held   *transport.Conn // while it is owed an answer
+	conn   *transport.Conn // that its set-up came on; nil over UDP
+	held   bool            // conn is kept, since it is owed an answer
+	gone   atomic.Bool     // its caller has cancelled
 	req    *Message
 	id     string
 	tag    string
@@ -40,6 +43,9 @@
 		return
 	}
 	k := &uasCall{agent: a, tx: t, flow: f, req: m, id: token(8), tag: token(6)}
+	if tf, ok := f.(*tcpFlow); ok {
+		k.conn = tf.conn
+	}
 	refuse := func(status int, reason string, header ...string) {
 		r := k.response(status, reason)
 		for i := 0; i+1 < len(header); i += 2 {
@@ -54,7 +60,7 @@
 		}
 	}
 	target, err := parseURI(m.URI)
-	s := routing.Setup{ID: k.id, Key: target.user, FirstChoice: -1, Body: m.Body}
+	s := routing.Setup{ID: k.id, Key: target.user, FirstChoice: -1, Body: m.Body, Excess: a.closing}
 	bad := a.read(m, &s)
 	unread := func(status int, reason string, header ...string) { // in error_total, as on the JSON front
 		a.core.Unreadable(s.Class)
@@ -81,18 +87,14 @@
 }
 
 // hold keeps the caller's connection from being closed to make room while it is owed an answer.
-func (k *uasCall) hold() {
-	if t, ok := k.flow.(*tcpFlow); ok && t.conn.Hold() {
-		k.held = t.conn
-	}
-}
+func (k *uasCall) hold() { k.held = k.conn != nil && k.conn.Hold() }
 
 // settled takes a set-up that has its final answer off the list.
 func (k *uasCall) settled() {
 	delete(k.agent.calls, k.tx)
-	if k.held != nil {
-		k.held.Unhold()
-		k.held = nil
+	if k.held {
+		k.conn.Unhold()
+		k.held = false
 	}
 }
 
@@ -150,6 +152,7 @@
 	if k == nil {
 		return
 	}
+	k.gone.Store(true)
 	a.core.Withdraw(k.id, k, func(inTime bool) {
 		if inTime {
 			k.final(487, "Request Terminated", nil)
@@ -169,6 +172,9 @@
 	})
 }
 
+// Gone implements routing.Caller.
+func (k *uasCall) Gone() bool { return k.gone.Load() || k.conn != nil && k.conn.Left() }
+
 // Answer implements routing.Caller: the call stands.
 func (k *uasCall) Answer(body []byte) bool {
 	k.agent.Post(func() { k.answer(body) })
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,6 +32,7 @@
 	WasCut      bool
 	Left        time.Duration // how long the caller still waits
 	Body        []byte        // description, passed on unchanged
+	Excess      bool          // more than its front takes at a time: it is refused at once, and goes to no server
 }
 
 // ValidKey tells whether a number called can stand in a request line. Servers close on what they can't read, and take
@@ -53,6 +55,10 @@
 // Caller is the front's end of one call. Its methods are called by the core's actor and must not block. Answer,
 // Refuse and Fail are the final answer: one of them is called once, unless the call is withdrawn first.
 type Caller interface {
+	// Gone tells whether the caller has closed its connection or cancelled. The front says so at once and withdraws the call
+	// as well: the withdrawal is what ends the call, in its turn; Gone keeps an attempt that is ahead of it in a mailbox or
+	// a write queue from beginning. Any goroutine may ask.
+	Gone() bool
 	Answer(body []byte) bool // the call stands; false if the caller can no longer be told
 	Refuse(wait time.Duration)
 	Fail()
@@ -68,6 +74,7 @@
 	peer   *Peer
 	sentAt control.Micros
 	expiry *time.Timer
+	over   *atomic.Bool // given up: what of it was not written yet never is
 }
 
 type call struct {
@@ -88,6 +95,7 @@
 const (
 	backstop    = 15 * time.Millisecond // past a caller's deadline; then the core itself answers
 	rememberFor = 2 * time.Minute       // ids of calls that are over: a release told twice is passed on once
+	rememberMax = 1 << 16               // so many at most, the newest, whatever the callers do
 )
 
 // Core is the module's actor: the only owner of the Controller, the table of calls and their timers. What races (an
@@ -102,10 +110,9 @@
 	peers   map[uint32]*Peer
 	calls   map[string]*call
 	pending int // calls that are owed an answer
-	over    map[string]control.Micros
+	over    memory
 	quotas  Quotas // nil: none
 	guard   control.Micros
-	swept   control.Micros
 	actions []control.Action
 	busy    bool
 	drained func() // told when nothing is owed
@@ -126,7 +133,7 @@
 // NewCore starts the module. records may be nil: then nothing is recorded.
 func NewCore(set control.Settings, seed uint64, records Recorder, log logrus.FieldLogger) *Core {
 	c := &Core{Actor: actor.New(), clock: newClock(), module: control.New(set, seed), log: log, peers: map[uint32]*Peer{},
-		calls: map[string]*call{}, over: map[string]control.Micros{}, guard: set.ReleaseGuard,
+		calls: map[string]*call{}, guard: set.ReleaseGuard,
 		recorder: records, classes: set.Classes, viewed: map[uint32]viewed{}, reported: map[uint32][]float64{},
 		figures: newFigures(len(set.Classes))}
 	c.Post(func() { c.handle(control.Start{}) })
@@ -213,7 +220,7 @@
 
 func (c *Core) open(s Setup, caller Caller, arrived control.Micros) {
 	dropDead := arrived + control.Micros(s.Left/time.Microsecond)
-	if at, ok := c.over[s.ID]; c.calls[s.ID] != nil || ok && c.clock.now()-at < c.guard {
+	if at, ok := c.over.at(s.ID); c.calls[s.ID] != nil || ok && c.clock.now()-at < c.guard {
 		// The id is in use: the first call goes on by its own rules, and who asked second is told that this failed. An id
 		// used again at once would be sent again within the release guard.
 		c.log.WithField("call", s.ID).Debug("set-up with the id of another call")
@@ -229,7 +236,6 @@
 	c.calls[s.ID] = k
 	c.pending++
 	c.figures.Open.Store(int64(len(c.calls)))
-	delete(c.over, s.ID)
 	c.noteTaken(k, arrived)
 	k.overdue = c.After(span(dropDead-c.clock.now())+backstop, func() { c.overdue(k) })
 	var quota control.Quota
@@ -240,7 +246,7 @@
 		}
 	}
 	c.handle(control.Call{Quota: quota, ID: s.ID, Class: s.Class, Tenant: s.Tenant, Key: s.Key, DropDead: dropDead,
-		FirstChoice: s.FirstChoice, WasCut: s.WasCut, Limits: limits})
+		FirstChoice: s.FirstChoice, WasCut: s.WasCut, Limits: limits, Excess: s.Excess})
 }
 
 // overdue guards the rule of one final answer against a module that gave none in time.
@@ -320,15 +326,8 @@
 	}
 	delete(c.calls, k.ID)
 	c.figures.Open.Store(int64(len(c.calls)))
-	now := c.clock.now()
-	c.over[k.ID] = now
-	if now-c.swept > control.Micros(rememberFor/time.Microsecond)/4 {
-		c.swept = now
-		for id, at := range c.over {
-			if now-at > control.Micros(rememberFor/time.Microsecond) {
-				delete(c.over, id)
-			}
-		}
+	if k.attempts > 0 { // what no server has heard of needs no guard, and a flood of it no memory
+		c.over.add(k.ID, c.clock.now())
 	}
 	c.settled()
 }
@@ -363,6 +362,7 @@
 		return
 	}
 	k.out = nil
+	a.over.Store(true)
 	a.expiry.Stop()
 	c.noteEnded(k, a, code)
 	c.sawEnd(k, a, code)
@@ -439,8 +439,12 @@
 }
 
 func (c *Core) send(k *call, a control.Action) {
+	if k.caller.Gone() { // its withdrawal is on the way
+		c.withdraw(k)
+		return
+	}
 	now := c.clock.now()
-	at := &attempt{number: k.attempts, server: a.Server, peer: c.peers[a.Server], sentAt: now}
+	at := &attempt{number: k.attempts, server: a.Server, peer: c.peers[a.Server], sentAt: now, over: &atomic.Bool{}}
 	k.attempts++
 	left := k.dropDead - now
 	if a.Wait > 0 {
@@ -469,7 +473,7 @@
 		})
 	}
 	at.peer.setup(Attempt{ref: ref{k.ID, at.number}, Class: k.Class, Key: k.Key, Body: k.Body,
-		Deadline: time.Now().Add(span(left)), level: c.levelOf(a.Server)})
+		Deadline: time.Now().Add(span(left)), level: c.levelOf(a.Server), over: at.over, caller: k.caller})
 }
 
 // sawEnd counts the end of an attempt that did not stand. What was never sent, or called off from this side, says nothing
@@ -578,8 +582,8 @@
 			c.noteReport(p.server, report)
 			c.handle(control.Status{Server: p.server, Code: control.OK, Report: report})
 		}
-		if k == nil && c.over[id] == 0 && c.orphans != nil {
-			c.over[id] = c.clock.now()
+		if _, known := c.over.at(id); k == nil && !known && c.orphans != nil {
+			c.over.add(id, c.clock.now())
 			c.orphans.Orphan(id, cause)
 		}
 		return
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -28,7 +28,14 @@
 	Key      string
 	Body     []byte
 	Deadline time.Time
-	level    int // of the server, as the module held it when it decided; known while records are kept
+	level    int          // of the server, as the module held it when it decided; known while records are kept
+	over     *atomic.Bool // set once the core has given it up
+	caller   Caller
+}
+
+// void tells whether nobody wants the attempt any more: it must not begin.
+func (a *Attempt) void() bool {
+	return a.over != nil && a.over.Load() || a.caller != nil && a.caller.Gone()
 }
 
 // NewAttempt names an attempt.
@@ -43,9 +50,10 @@
 // Line is an open way to one server. Its methods must not block; what happens is told to the LineEvents it was
 // opened with.
 type Line interface {
-	// Setup sends a set-up. still is asked when its first byte is about to go out.
+	// Setup sends a set-up. still is asked when its first byte is about to go out; one that is then not sent is told as
+	// NotSent, and nothing else of it goes out either.
 	Setup(a Attempt, still func() bool)
-	Cancel(id string)             // give up a set-up; a late answer is told, or released by the line itself
+	Cancel(id string)             // give up a set-up, no copy of which goes out then; a late answer is told, or released by the line itself
 	Release(id string, cause int) // end a call that stands
 	Close()
 }
@@ -348,12 +356,15 @@
 
 func (l *lane) transmit(a Attempt) {
 	l.out[a.id] = sending{Attempt: a}
-	first := true // UDP asks again for each copy
+	first := true // UDP asks again for each copy; the line itself sends none after a cancel
 	l.line.Setup(a, func() bool {
 		if !l.peer.ready() {
 			return false
 		}
 		if first {
+			if a.void() {
+				return false
+			}
 			first = false
 			l.peer.core.note(history.Event{Kind: history.Sent, Call: a.id, Attempt: a.attempt, Server: l.peer.server,
 				Level: a.level})
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -6,9 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits of one connection.
@@ -60,17 +64,41 @@
 	used   atomic.Int64 // when it was last used, in Unix nanoseconds
 	spoke  atomic.Bool  // a whole message has come on it
 	began  atomic.Bool  // a byte has come on it
+	left   atomic.Bool  // the other side has ended or broken it, as far as was read
 }
 
-// Read reads from the connection and notes that something has come.
+// Read reads from the connection, and notes that something has come and that the other side has left.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.began.Load() {
 		c.began.Store(true)
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.left.Store(true)
+	}
 	return n, err
 }
 
+// Left tells whether the other side has ended or broken the connection, as far as its owner has read. A half-close is taken
+// for a close: TCP tells the two apart for nobody who reads.
+func (c *Conn) Left() bool { return c.left.Load() }
+
+// unread tells whether bytes of the other side lie in the kernel that nobody has read: a close now would drop them. On a
+// connection that is no socket there are none.
+func (c *Conn) unread() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return n > 0
+}
+
 // Spoke notes that a whole message has come.
 func (c *Conn) Spoke() {
 	c.spoke.Store(true)
@@ -259,10 +287,11 @@
 	c.poke()
 }
 
-// FinishIdle is Finish for a connection on which nothing is owed; on any other it does nothing and gives false. It is at
-// one with Hold: either the set-up that crosses the close is held and the connection stays, or Hold refuses it.
+// FinishIdle is Finish for a connection on which nothing is owed and nothing has come that is not read yet; on any other it
+// does nothing and gives false. It is at one with Hold: either the set-up that crosses the close is held and the connection
+// stays, or Hold refuses it.
 func (c *Conn) FinishIdle() bool {
-	idle := c.endIdle()
+	idle := !c.unread() && c.endIdle()
 	if idle {
 		c.poke()
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -82,11 +85,26 @@
 	return &Listener{Listener: l, budget: budget, conns: map[*Conn]struct{}{}}, nil
 }
 
-// Serve accepts until the listener is closed. When the budget is used up, a connection on which nothing is owed makes
+// acceptFor is how long a listener that stops goes on taking what the machine has accepted for it. Those connections may hold
+// whole requests; a close resets them.
+const acceptFor = 20 * time.Millisecond
+
+// Stop ends the listener once it has handed on every connection that the machine had accepted. It does not wait for that.
+func (l *Listener) Stop() {
+	if t, ok := l.Listener.(*net.TCPListener); !ok || t.SetDeadline(time.Now().Add(acceptFor)) != nil {
+		l.Close()
+	}
+}
+
+// Serve accepts until the listener is closed or stopped. When the budget is used up, a connection on which nothing is owed makes
 // room for a new one; where there is none, the new one is closed.
 func (l *Listener) Serve(handle func(*Conn)) {
 	for {
 		nc, err := l.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // stopped
+			l.Close()
+			return
+		}
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -128,37 +146,54 @@
 }
 
 // makeRoom closes the connection that is missed least: the oldest of those that never sent a whole message, else the one
-// that has been idle longest, best one without a call that stands. Callers that say nothing, or have had their answer and stay, must not keep others out.
+// that has been idle longest, best one without a call that stands. Callers that say nothing, or have had their answer and
+// stay, must not keep others out. One with bytes that are not read yet may hold a set-up, and is passed over.
 func (l *Listener) makeRoom() bool {
-	var least *Conn
-	l.mu.Lock()
-	for c := range l.conns {
-		if c.Held() || c.unfit() {
-			continue
+	passed := map[*Conn]bool{}
+	for {
+		var least *Conn
+		l.mu.Lock()
+		for c := range l.conns {
+			if c.Held() || c.unfit() || passed[c] {
+				continue
+			}
+			if least == nil || c.less(least) {
+				least = c
+			}
 		}
-		if least == nil || c.less(least) {
-			least = c
+		l.mu.Unlock()
+		if least == nil {
+			return false
 		}
+		if !least.unread() && least.endIdle() {
+			least.Close()
+			return true
+		}
+		passed[least] = true
 	}
-	l.mu.Unlock()
-	if least == nil {
-		return false
-	}
-	if !least.endIdle() { // a set-up has come on it meanwhile
-		return l.makeRoom()
+}
+
+func (l *Listener) open() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.conns))
+}
+
+// FinishIdle ends every connection on which nothing is owed, as Conn.FinishIdle does. It tells whether that was all of them:
+// what is read from a connection that stays is owed an answer. With force, bytes that are not read yet are no reason to stay.
+func (l *Listener) FinishIdle(force bool) (all bool) {
+	all = true
+	for _, c := range l.open() {
+		if !c.FinishIdle() && !(force && c.endIdle()) {
+			all = false
+		}
 	}
-	least.Close()
-	return true
+	return all
 }
 
 // Finish closes every connection that is open once its queue is written, and waits for that, but not longer than a time.
 func (l *Listener) Finish(limit time.Duration) {
-	l.mu.Lock()
-	conns := make([]*Conn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
-	l.mu.Unlock()
+	conns := l.open()
 	timeout := time.After(limit)
 	for _, c := range conns {
 		c.Finish()
