Endings by tests over loopback: drains, signals, idle clients, who left

A gatekeeper that ended in process left its core, list and peers running (TestDrainLeavesNothingBehind, goleak).

--- /dev/null
+++ b/cmd/beammux/endings_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const oneClass = `{"classes":[{"name":"menu-view","repeat":"read_like","aim-us":1500000,"deadline-us":9000000,"worth":1}],
+"bounds":{"attempts-cap":5,"cancel":true,"retry-after":true,"max-retry-after-us":2000000}}`
+
+// bus listens as an event bus that takes connections and says nothing; asked tells of each.
+func bus(t *testing.T) (addr string, asked chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	asked = make(chan struct{}, 99)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			asked <- struct{}{}
+		}
+	}()
+	return l.Addr().String(), asked
+}
+
+func within(t *testing.T, what string, c <-chan struct{}, span time.Duration) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(span):
+		t.Fatalf("%s: not within %v", what, span)
+	}
+}
+
+// SIGHUP in a drain, and twice in a row, moves the event bus at once: further attempts of the calls that are answered then go
+// by the list. The drain is held by a call whose server says nothing.
+func TestSIGHUPInADrain(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer server.Close()
+	got := make(chan struct{}, 99)
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				for in := bufio.NewScanner(c); in.Scan(); {
+					if strings.HasPrefix(in.Text(), "INVITE") {
+						got <- struct{}{}
+					}
+				}
+			}()
+		}
+	}()
+	file := filepath.Join(t.TempDir(), "config.json")
+	write := func(bus string) {
+		known := fmt.Sprintf(`{"offset":1,"batch":[{"offset":1,"topology":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"block":0,"health":"up","share":1,"born_ms":0}]}}]}`, server.Addr())
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","bus":%q,"known":%s,"settings":%s}`, bus, known, oneClass)
+		require.NoError(t, os.WriteFile(file+".new", []byte(text), 0o600))
+		require.NoError(t, os.Rename(file+".new", file))
+	}
+	old, first := bus(t)
+	write(old)
+	cmd := program("serve", "--log-format", "json")
+	cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file)
+	addr := logged(t, cmd, "serving")
+	within(t, "the first bus", first, 10*time.Second)
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	fmt.Fprintln(c, `{"msg":"open","sid":"0000000000000001","attrs":{"class":"menu-view","left":5000,"key":"1"}}`)
+	within(t, "the set-up", got, 10*time.Second)
+	cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond) // in the drain
+	for range 2 {
+		next, asked := bus(t)
+		write(next)
+		cmd.Process.Signal(syscall.SIGHUP)
+		within(t, "the bus of the new configuration", asked, time.Second)
+	}
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if !strings.Contains(line, `"close"`) || !strings.Contains(line, "0000000000000001") {
+		t.Errorf("the call that was owed its answer got %q, %v", line, err)
+	}
+	require.NoError(t, cmd.Wait())
+}
+
+// Nine in ten processes that start again are ready within 10 s, also while discovery is down: here each of ten, killed with a
+// set-up open, by the clients' own test.
+func TestReadyWithDiscoveryDown(t *testing.T) {
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	bus := down.Addr().String()
+	down.Close()
+	place, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listen := place.Addr().String()
+	place.Close()
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, `{"listen":%q,"bus":%q,"settings":%s}`, listen, bus, oneClass), 0o600))
+	const starts, limit = 10, 10 * time.Second
+	soon, most := 0, time.Duration(0)
+	for range starts {
+		cmd := program("serve")
+		cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file)
+		began := time.Now()
+		started(t, cmd)
+		var line string
+		for line == "" && time.Since(began) < limit {
+			c, err := net.DialTimeout("tcp", listen, time.Second)
+			if err != nil {
+				continue
+			}
+			c.SetDeadline(time.Now().Add(time.Second))
+			io.WriteString(c, `{"msg":"probe","sid":"0000000000000001","attrs":{},"code":0}`+"\n")
+			line, _ = bufio.NewReader(c).ReadString('\n')
+			io.WriteString(c, `{"msg":"open","sid":"0000000000000002","attrs":{"class":"menu-view","left":5000,"key":"1"}}`+"\n")
+			defer c.Close()
+		}
+		if strings.Contains(line, `"code":1`) {
+			soon++
+		}
+		most = max(most, time.Since(began))
+		cmd.Process.Kill()
+		cmd.Wait()
+	}
+	t.Logf("%d of %d ready in time, the last after %v", soon, starts, most)
+	if soon < starts*9/10 {
+		t.Errorf("%d of %d ready within %v", soon, starts, limit)
+	}
+}
--- /dev/null
+++ b/internal/node/endings_test.go
@@ -0,0 +1,301 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"beammux/control"
+	"beammux/internal/config"
+	"beammux/internal/protocol/sip/siptest"
+	"beammux/internal/routing"
+)
+
+// Callers that never stop sending don't hold a drain: each set-up that was written has one final answer, but for those that
+// cross the close of their connection, and the drain ends.
+func TestDrainEndsUnderCallersWhoGoOn(t *testing.T) {
+	n := testNode(t, &config.Deploy{})
+	withServer(t, n, 20*time.Millisecond)
+	const conns, pace, cross = 4, 3 * time.Millisecond, 50 * time.Millisecond
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	lost, answered := []string{}, 0
+	for i := range conns {
+		conn := dial(t, n)
+		sent, finals := map[string]time.Time{}, map[string]int{}
+		var own sync.Mutex
+		closed := make(chan struct{})
+		clients.Go(func() {
+			for s := bufio.NewScanner(conn); s.Scan(); {
+				var m struct{ Msg, Sid string }
+				if json.Unmarshal(s.Bytes(), &m) == nil && (m.Msg == "ready" || m.Msg == "close") {
+					own.Lock()
+					finals[m.Sid]++
+					own.Unlock()
+				}
+			}
+			close(closed)
+			end := time.Now()
+			own.Lock()
+			defer own.Unlock()
+			mu.Lock()
+			defer mu.Unlock()
+			for id, at := range sent {
+				if finals[id] == 0 && end.Sub(at) > cross || finals[id] > 1 {
+					lost = append(lost, fmt.Sprintf("%s: %d answers, written %v before the close", id, finals[id], end.Sub(at)))
+				}
+			}
+			answered += len(finals)
+		})
+		clients.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-closed:
+					return
+				case <-time.After(pace):
+				}
+				id := fmt.Sprintf("%08d%08d", i, k)
+				own.Lock()
+				sent[id] = time.Now()
+				own.Unlock()
+				open(conn, id, "5", 3000)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	drained := make(chan struct{})
+	go func() { defer close(drained); n.Drain() }()
+	select {
+	case <-drained:
+	case <-time.After(openFor + goOnFor + 5*time.Second):
+		t.Fatal("the drain does not end")
+	}
+	clients.Wait()
+	if len(lost) > 0 || answered == 0 {
+		t.Errorf("%d answered; not once: %s", answered, strings.Join(lost, "; "))
+	}
+}
+
+// A set-up that lies unread on an open connection at the last look at "nothing is owed" is answered before the connection
+// closes. The crossing is forced: the connection's reader is held while the set-up is written and the look is made.
+func TestSetupThatCrossesTheEndOfADrainIsAnswered(t *testing.T) {
+	n := testNode(t, &config.Deploy{})
+	hold, held := make(chan struct{}), make(chan struct{})
+	n.front.Seen = func(string, bool) { close(held); <-hold }
+	answers := make(chan string, 9)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- fmt.Sprint(m["sid"], m["msg"]) })
+	fmt.Fprintln(c, `{"msg":"probe","sid":"0000000000000009","attrs":{},"code":0}`)
+	<-held
+	<-answers
+	open(c, "0000000000000001", "1", 3000)
+	ended := make(chan struct{})
+	looks := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.settle()
+		n.listener.Finish(flushFor)
+	}()
+	go func() { // two looks at the least: each is a turn of the core's
+		for range 2 {
+			time.Sleep(2 * settleEvery)
+			turn := make(chan struct{})
+			n.core.Post(func() { close(turn) })
+			<-turn
+		}
+		close(looks)
+	}()
+	<-looks
+	select {
+	case <-ended:
+		t.Error("ended over a set-up that lay unread")
+	default:
+	}
+	close(hold)
+	<-ended
+	select {
+	case got := <-answers:
+		require.Equal(t, "0000000000000001close", got)
+	case <-time.After(5 * time.Second):
+		t.Error("the set-up has no answer")
+	}
+}
+
+// A caller that closes or cancels has gone: no attempt begins more than 0.1 s later, neither a first one nor a further one
+// while the call waits for it, also with many calls at once.
+func TestNoAttemptForOneWhoLeft(t *testing.T) {
+	const gone = 100 * time.Millisecond
+	for _, how := range []string{"close", "reset", "cancel"} {
+		for _, when := range []string{"at once", "while it waits"} {
+			t.Run(how+" "+when, func(t *testing.T) {
+				n := testNode(t, &config.Deploy{})
+				cut := func(p *siptest.Party, e siptest.Entry) {
+					if siptest.Is("INVITE")(e.Msg) {
+						e.Back(p.Reply(e.Msg, 504, "Reset", ""))
+					}
+				}
+				servers := []*siptest.Party{siptest.New(t, cut), siptest.New(t, cut)}
+				n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: servers[0].Addr("TCP"), State: control.Ready},
+					{Name: "b", Addr: servers[1].Addr("TCP"), Cell: 1, State: control.Ready}}})
+				const calls = 40
+				c := dial(t, n).(*net.TCPConn)
+				go io.Copy(io.Discard, c)
+				id := func(i int) string { return fmt.Sprintf("%016x", i+1) }
+				for i := range calls {
+					open(c, id(i), fmt.Sprint(i), 3000)
+				}
+				if when == "while it waits" {
+					servers[0].Wait("INVITE", siptest.Is("INVITE"))
+					time.Sleep(50 * time.Millisecond) // inside the guard of 300 ms
+				}
+				switch how {
+				case "cancel":
+					for i := range calls {
+						fmt.Fprintf(c, `{"msg":"close","sid":%q,"attrs":{},"code":16}`+"\n", id(i))
+					}
+				case "reset":
+					c.SetLinger(0)
+					fallthrough
+				case "close":
+					c.Close()
+				}
+				left := time.Now()
+				time.Sleep(700 * time.Millisecond) // a further attempt would have come by now
+				late, all := 0, 0
+				for _, s := range servers {
+					for _, e := range s.Log() {
+						if siptest.Is("INVITE")(e.Msg) {
+							all++
+							if e.At.Sub(left) > gone {
+								late++
+							}
+						}
+					}
+				}
+				if late > 0 || when == "while it waits" && all == 0 {
+					t.Errorf("%d of %d attempts began over %v after the caller had left", late, all, gone)
+				}
+			})
+		}
+	}
+}
+
+// Idle clients fill the descriptors while the event bus is down: its reconnect and the dials keep their part, so the list
+// comes, and a caller gets in and is served, at the cost of idle ones.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	hold, err := net.Listen("tcp", "127.0.0.1:0") // the bus's address, which is down at first
+	require.NoError(t, err)
+	bus := hold.Addr().String()
+	hold.Close()
+	cfg, err := config.Load(testConfig(t))
+	require.NoError(t, err)
+	cfg.Sockets, cfg.Bus = 96, bus
+	log, _ := logtest.NewNullLogger()
+	n := startNode(t, cfg, &config.Deploy{}, log)
+	for i := range 3 * cfg.Sockets {
+		c, err := net.Dial("tcp", n.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		switch i % 3 { // silent, a line that has begun, and one that was answered
+		case 1:
+			io.WriteString(c, `{"msg":"op`)
+		case 2:
+			fmt.Fprintln(c, `{"msg":"probe","sid":"0000000000000009","attrs":{},"code":0}`)
+		}
+	}
+	server := siptest.New(t, slowly(0))
+	l, err := net.Listen("tcp", bus)
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: "+
+				`{"offset":1,"topology":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"east","class":"std","block":0,"health":"up","share":1,"born_ms":0}]}}`+
+				"\n\n", server.Addr("TCP"))
+		}
+	}()
+	began := time.Now()
+	for i := 0; ; i++ {
+		c, err := net.Dial("tcp", n.Addr())
+		require.NoError(t, err)
+		open(c, fmt.Sprintf("%016x", i+1), "1", 2000)
+		c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		line, err := bufio.NewReader(c).ReadString('\n')
+		c.Close()
+		if strings.Contains(line, `"ready"`) {
+			break
+		}
+		if err != nil {
+			t.Fatalf("a caller with a set-up did not get in: %v", err)
+		}
+		if time.Since(began) > 5*time.Second {
+			t.Fatalf("not served 5 s after the bus is back: %s", line)
+		}
+	}
+}
+
+// Two classes in turn on one connection, over one line: at the server each set-up is of its own class, number and description,
+// and each answer goes back to its own call.
+func TestCallsInTurnKeepTheirOwn(t *testing.T) {
+	file := strings.Replace(testSettings, `"worth":1}]`, `"worth":1},{"aim-us":1500000,"deadline-us":9000000,"late-worth":0.5,"name":"diet","repeat":"non_idempotent","worth":3}]`, 1)
+	require.NotEqual(t, testSettings, file)
+	site, err := control.ParseSite(file)
+	require.NoError(t, err)
+	cfg, err := config.Load(testConfig(t))
+	require.NoError(t, err)
+	cfg.Site = site
+	log, _ := logtest.NewNullLogger()
+	n := startNode(t, cfg, &config.Deploy{}, log)
+	server := siptest.New(t, func(p *siptest.Party, e siptest.Entry) {
+		if siptest.Is("INVITE")(e.Msg) {
+			e.Back(p.Reply(e.Msg, 200, "OK", e.Msg.Get("X-Cos")+" "+keyOf(e.Msg)+" "+string(e.Msg.Body)))
+		}
+	})
+	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
+	got := make(chan [2]string, 9)
+	c := dialJSON(t, n, func(m map[string]any) { got <- [2]string{fmt.Sprint(m["sid"]), fmt.Sprint(m["text"])} })
+	for i := range 60 {
+		id, class := fmt.Sprintf("%016x", i+1), []string{"menu-view", "diet"}[i%2]
+		body := strings.Repeat(fmt.Sprint(i, " "), 1+i%5)
+		fmt.Fprintf(c, `{"msg":"open","sid":%q,"attrs":{"class":%q,"left":3000,"key":"7%d"},"text":%q}`+"\n", id, class, i, body)
+		require.Equal(t, [2]string{id, fmt.Sprintf("%s 7%d %s", class, i, body)}, <-got)
+	}
+}
+
+// A gatekeeper that drained leaves no goroutine behind, whatever its callers and servers were at.
+func TestDrainLeavesNothingBehind(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	cfg, err := config.Load(testConfig(t))
+	require.NoError(t, err)
+	log, _ := logtest.NewNullLogger()
+	n, err := Start(t.Context(), cfg, &config.Deploy{}, log)
+	require.NoError(t, err)
+	server := withServer(t, n, 100*time.Millisecond)
+	answers := make(chan string, 9)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- fmt.Sprint(m["msg"]) })
+	open(c, "0000000000000001", "1", 3000)
+	silent := dial(t, n)
+	io.WriteString(dial(t, n), `{"msg":"op`)
+	require.Equal(t, "ready", <-answers)
+	open(c, "0000000000000002", "1", 3000)
+	n.Drain()
+	require.Equal(t, "ready", <-answers)
+	n.Close()
+	server.Stop()
+	c.Close()
+	silent.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,6 +279,7 @@
 		n.agent.Close()
 	}
 	n.stop()
+	n.endRouting()
 	n.closeShared()
 	n.telling.Wait()
 	if n.fleet != nil {
@@ -288,6 +289,12 @@
 	n.closeRecords()
 }
 
+// endRouting stops the list, its lines and the core: nothing is owed any more.
+func (n *Node) endRouting() {
+	n.list.End()
+	n.core.Post(n.core.Stop)
+}
+
 // loadServers gives the list what is known at the start and waits until the module has it.
 func (n *Node) loadServers() error {
 	var updates []routing.Update
@@ -424,6 +431,7 @@
 	}
 	n.store.Close()
 	n.core.Note(history.Event{Kind: history.Finished})
+	n.endRouting()
 	n.closeRecords()
 	n.log.Info("drained")
 }
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -52,6 +52,17 @@
 		taken: map[uint32]string{}}
 }
 
+// End stops the list, its peers and their lines. Calls that stand are left to stand: nobody is told anything. It is called
+// when the process ends.
+func (l *List) End() {
+	l.Post(func() {
+		for _, h := range l.hosts {
+			h.peer.end()
+		}
+		l.Stop()
+	})
+}
+
 // Apply takes a change. done, if not nil, is called when the module has it.
 func (l *List) Apply(u Update, done func()) {
 	l.Post(func() {
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -162,6 +162,19 @@
 	p.After(lingerFor, p.Stop)
 }
 
+// end stops the peer without a word to the core or its server.
+func (p *Peer) end() {
+	p.stopDial()
+	p.Post(func() {
+		p.stopTimer()
+		for _, l := range p.lanes {
+			l.gone = true
+			l.line.Close()
+		}
+		p.Stop()
+	})
+}
+
 func (p *Peer) stopTimer() {
 	if p.timer != nil {
 		p.timer.Stop()
