SIP streams: an answer that breaks off before the next message is not told as whole

Seen in the code, shown by TestAnswerThatBreaksOffBeforeTheNextMessage: a body that is short by some bytes took in the beginning of what the server said next on the connection (its state, each second, or another call's answer), and was told as the call's description, one that no server made; a head that broke off took in the next one's fields. Lines at fault: Reader.message (framed by Content-Length alone) and parseHead (the first of two Call-IDs counted). Descriptions that hold words of the protocol pass as before.

--- a/internal/protocol/sip/message.go
+++ b/internal/protocol/sip/message.go
@@ -178,6 +178,11 @@
 	if _, _, ok := m.CSeq(); !ok || m.Get("Call-ID") == "" {
 		return m, 0, ErrMalformed
 	}
+	for _, once := range []string{"Call-Id", "Cseq", "Content-Length"} { // a head that breaks off takes in the next one's
+		if len(m.Header[once]) > 1 {
+			return m, 0, ErrMalformed
+		}
+	}
 	length = -1
 	if v := m.Header.Values("Content-Length"); len(v) > 0 {
 		n, err := strconv.ParseUint(strings.TrimSpace(v[0]), 10, 31)
@@ -284,11 +289,55 @@
 	if err != nil {
 		return nil, err
 	}
+	if have, _ := r.in.Peek(r.in.Buffered()); beginsWithin(have[end:], length) {
+		return m, ErrMalformed
+	}
 	m.Body = bytes.Clone(whole[end:])
 	r.in.Discard(end + length)
 	return m, nil
 }
 
+var starts = [][]byte{[]byte("SIP/2.0 "), []byte("INVITE "), []byte("ACK "), []byte("BYE "), []byte("CANCEL "), []byte("OPTIONS "),
+	[]byte("NOTIFY ")}
+
+// beginsWithin tells whether a further message begins within a body, the first bytes of a text, and goes on to the body's end
+// or past it: the body broke off, and what was taken for its rest is the next message's.
+func beginsWithin(text []byte, length int) bool {
+	for _, start := range starts {
+		at := bytes.LastIndex(text[:min(len(text), length+len(start)-1)], start)
+		if at < 0 || at >= length {
+			continue
+		}
+		if at+len(start) > length {
+			return true
+		}
+		line, _, _ := bytes.Cut(text[at:], []byte("\r\n"))
+		if !startLine(string(line)) {
+			continue
+		}
+		end := headEnd(text[at:length])
+		if end < 0 {
+			return true
+		}
+		if _, n, err := parseHead(text[at : at+end]); err != nil || at+end+n >= length {
+			return true
+		}
+	}
+	return false
+}
+
+func startLine(line string) bool {
+	parts := strings.SplitN(line, " ", 3)
+	if len(parts) < 3 {
+		return false
+	}
+	if parts[0] == "SIP/2.0" {
+		_, err := strconv.ParseUint(parts[1], 10, 10)
+		return err == nil && len(parts[1]) == 3
+	}
+	return parts[2] == "SIP/2.0"
+}
+
 // Respond makes a response to a request: Via, From, To, Call-ID and CSeq are the request's.
 func Respond(req *Message, status int, reason string) *Message {
 	m := &Message{Status: status, Reason: reason, Header: textproto.MIMEHeader{}}
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"reflect"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -321,3 +322,50 @@
 	b.next("INVITE")
 	b.next("CANCEL")
 }
+
+// An answer that breaks off, wherever, and is followed at once by the next message is never told: its description would be one
+// that no server made. The line ends.
+func TestAnswerThatBreaksOffBeforeTheNextMessage(t *testing.T) {
+	next := "NOTIFY sip:ping@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 NOTIFY\r\nX-Occupancy: x0:1\r\nContent-Length: 0\r\n\r\n"
+	// Whole messages of another call; told gives the descriptions that are told for call 9.
+	bye := "BYE sip:x@net SIP/2.0\r\nCall-ID: 2\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n"
+	other := "SIP/2.0 200 OK\r\nCall-ID: 3\r\nCSeq: 1 INVITE\r\nContent-Length: 5\r\n\r\nv=0\r\n"
+	body := "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
+	answer := func(m *Message) string {
+		r := Respond(m, 200, "OK")
+		r.Body = []byte(body)
+		return string(r.Append(nil))
+	}
+	told := func(whole, rest string) (events []any) {
+		in, out := net.Pipe()
+		go func() { io.WriteString(out, whole+rest); out.Close() }()
+		for r := NewReader(bufio.NewReaderSize(in, MaxMessage)); ; {
+			m, err := r.Next()
+			if err != nil {
+				return events
+			}
+			if m.Get("Call-ID") == "9" {
+				events = append(events, string(m.Body))
+			}
+		}
+	}
+	invite := Request("INVITE", "sip:1@net").Set("Call-ID", "9").Set("CSeq", "1 INVITE")
+	whole := answer(invite)
+	t.Logf("%d places to break off at", len(whole)-1)
+	for _, rest := range []string{next, bye, other, strings.Repeat(next, 3)} {
+		if got := told(whole, rest); len(got) != 1 || got[0] != body {
+			t.Fatalf("a whole answer before %.8q: %q", rest, got)
+		}
+		for short := 1; short < len(whole); short++ {
+			if got := told(whole[:len(whole)-short], rest); len(got) > 0 {
+				t.Errorf("%d short before %.8q: told %q", short, rest, got)
+			}
+		}
+	}
+	for _, odd := range []string{"SIP/2.0", "NOTIFY", "say BYE or SIP/2.0 2", "x" + next + "x"} { // a description may hold words of the protocol
+		body = odd
+		if got := told(answer(invite), next); len(got) < 1 || got[0] != odd {
+			t.Errorf("description %q: told %q", odd, got)
+		}
+	}
+}
