--- a/internal/protocol/bus/bus_test.go
+++ b/internal/protocol/bus/bus_test.go
@@ -215,3 +215,18 @@
 		<-done
 	})
 }
+
+// A stream that ends at any byte, its last bytes with the close, loses nothing and repeats nothing: the next connection asks
+// from the last event that was whole.
+func TestStreamCutAtAnyByte(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	events := event(1, true, "a", "up") + ": still here\n\n" + event(2, false, "b", "up") + event(3, false, "a", "draining")
+	for cut := range len(head + events) {
+		var updates []routing.Update
+		var asked []string
+		synctest.Test(t, func(t *testing.T) { updates, asked = serve(t, 0, (head + events)[:cut], head+events) })
+		if len(updates) != 3 || len(asked) != 2 || updates[1].Hosts[0].Name != "b" || updates[2].Hosts[0].State != control.Draining {
+			t.Fatalf("cut after %d bytes: %d updates, asked from %v", cut, len(updates), asked)
+		}
+	}
+}
--- a/internal/protocol/jsonl/endings_test.go
+++ b/internal/protocol/jsonl/endings_test.go
@@ -321,3 +321,37 @@
 		}
 	}
 }
+
+// A set-up that comes a byte at a time, with pauses, is taken whole within its 2 s, and one that is cut at any byte by the
+// caller's close is never taken.
+func TestSetupByteByByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := roomy(t)
+		near, ended := b.pipe()
+		io.WriteString(near, `{"msg":"probe","sid":"`+id+`"}`+"\n")
+		line := open(id)
+		pause := wholeWithin * 9 / 10 / time.Duration(len(line))
+		for i := range len(line) {
+			io.WriteString(near, line[i:i+1])
+			time.Sleep(pause)
+		}
+		s := <-b.core.opened
+		require.Equal(t, id, s.ID)
+		require.Equal(t, "a\r\nb", string(s.Body))
+		near.Close()
+		<-ended
+	})
+	line := open(id)
+	for cut := range len(line) {
+		b := roomy(t)
+		near, far := net.Pipe()
+		served := make(chan struct{})
+		go func() { defer close(served); c := transport.NewConn(far, nil); b.front.Serve(c); c.Close() }()
+		io.WriteString(near, line[:cut])
+		near.Close()
+		<-served
+		if len(b.core.opened) > 0 {
+			t.Errorf("taken with %d of %d bytes", cut, len(line))
+		}
+	}
+}
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -369,3 +369,38 @@
 		}
 	}
 }
+
+// A second answer, at once or some time later, of the same kind or another, is confirmed where SIP wants it and never told.
+func TestSecondAnswerIsNotTold(t *testing.T) {
+	for _, row := range []struct{ first, second int }{{200, 200}, {200, 486}, {486, 200}, {503, 503}, {503, 200}} {
+		for _, apart := range []bool{false, true} {
+			b := newPlatformBench(t)
+			m := b.setup()
+			text := func(status int) string {
+				r := Respond(m, status, "As it is")
+				if status == 200 {
+					r.Body = []byte("answer")
+				}
+				return string(r.Append(nil))
+			}
+			if apart {
+				b.send(text(row.first))
+				b.next("ACK")
+				b.send(text(row.second))
+			} else {
+				b.send(text(row.first) + text(row.second))
+				b.next("ACK")
+			}
+			if row.second == 200 {
+				b.next("ACK")
+			}
+			b.send("NOTIFY sip:x@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 NOTIFY\r\nX-Occupancy: spare:1\r\nContent-Length: 0\r\n\r\n")
+			if row.first == 200 {
+				b.event("answered 7f3a answer")
+			} else if got, ok := (<-b.told.events).(ended); !ok || got.id != "7f3a" {
+				t.Errorf("%v: told %v", row, got)
+			}
+			b.event([]float64{1, -1, -1, -1}) // nothing between
+		}
+	}
+}
--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -149,3 +149,28 @@
 		t.Error("remembered for ever")
 	}
 }
+
+// A line that comes up late carries what still waits for it, and nothing of what was given up, cancelled or left meanwhile.
+func TestLineThatComesUpLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		defer b.end()
+		b.wires["a"] = newWire()
+		up := make(chan struct{})
+		b.wires["a"].late = up
+		b.set("a", 0, control.Ready)
+		synctest.Wait()
+		short, cancelled, left, waits := b.call("short", 300*time.Millisecond), b.call("cancelled", 2*time.Second),
+			b.call("left", 2*time.Second), b.call("waits", 2*time.Second)
+		b.sleep(400 * time.Millisecond)
+		b.core.Withdraw("cancelled", cancelled, nil)
+		left.gone.Store(true)
+		synctest.Wait()
+		close(up)
+		synctest.Wait()
+		w := b.wires["a"]
+		if len(w.out) != 1 || w.begun["waits"] != 1 || short.finals != 1 || cancelled.finals+waits.finals != 0 {
+			t.Errorf("out %v, begun %v, answers %d %d %d", w.out, w.begun, short.finals, cancelled.finals, waits.finals)
+		}
+	})
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -35,7 +35,8 @@
 // wire is a stand-in for a server and the way to it: it notes what it is told, and the test says what happens.
 type wire struct {
 	dials  int
-	refuse error // of the next dials
+	refuse error         // of the next dials
+	late   chan struct{} // a dial waits for it to be closed; nil: none does
 	events LineEvents
 	held   bool               // writes wait in a queue
 	queue  []func()           // writes that wait
@@ -54,6 +55,9 @@
 
 func (w *wire) Dial(_ context.Context, _ string, e LineEvents) (Line, error) {
 	w.dials++
+	if w.late != nil {
+		<-w.late
+	}
 	if w.refuse != nil {
 		return nil, w.refuse
 	}
