A process that ends leaves calls standing; nobody's call is taken for the first tenant's

No release is owed for what stands when a process ends, and the next process passes on what comes. drain.End, TestEndingLeavesCallsStanding; a rejoin in such a process answers 409. Both fronts left a set-up's tenant at 0, the first customer, though sockets name none: a fleet limit on that customer bounded everybody (TestNobodyIsTakenForTheFirstTenant). Between a read and its Hold a connection could be closed as idle (TestSetupThatCrossesTheEndOfADrainIsAnswered failed so once in some runs): Conn.taking. Set-ups on kept connections are served for half of the time that a planned restart gives, then refused. Each new test was seen to fail without its part.

--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -24,6 +24,7 @@
 // Drain is the state of one gatekeeper: serving, or evacuated since a time. The zero value serves.
 type Drain struct {
 	evacuated bool
+	ending    bool
 	since     control.Micros
 }
 
@@ -34,9 +35,16 @@
 	}
 }
 
-// Rejoin takes clients again at once.
+// End is Evacuate for a process that ends: there is no rejoin, and no call is released for it. What stands goes on without the
+// process; its connections stay while that lives, since releases that come meanwhile are told there.
+func (d *Drain) End(now control.Micros) {
+	d.Evacuate(now)
+	d.ending = true
+}
+
+// Rejoin takes clients again at once, unless the process ends.
 func (d *Drain) Rejoin(now control.Micros) {
-	if d.evacuated {
+	if d.evacuated && !d.ending {
 		d.evacuated, d.since = false, now
 	}
 }
@@ -67,7 +75,7 @@
 	switch {
 	case !d.evacuated || owed:
 		return Keep
-	case standing && now-d.since >= Cut:
+	case standing && now-d.since >= Cut && !d.ending:
 		return Release
 	case !standing && now-max(used, d.since) >= Quiet:
 		return Close
--- a/control/drain/drain_test.go
+++ b/control/drain/drain_test.go
@@ -86,3 +86,13 @@
 		}
 	})
 }
+
+// A process that ends releases nothing, and takes no rejoin.
+func TestEnd(t *testing.T) {
+	var d Drain
+	d.End(1_000_000)
+	d.Rejoin(2_000_000)
+	if d.Ready() || d.Connection(1_000_000+2*Cut, 0, false, true) != Keep || d.Connection(1_000_000+2*Cut, 0, false, false) != Close {
+		t.Error("a process that ends rejoined, or would release what stands")
+	}
+}
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -16,11 +16,25 @@
 	"go.uber.org/goleak"
 
 	"beammux/control"
+	"beammux/control/drain"
+	"beammux/control/quota"
 	"beammux/internal/config"
+	"beammux/internal/protocol/sip"
 	"beammux/internal/protocol/sip/siptest"
 	"beammux/internal/routing"
 )
 
+// soon gives what comes, within 10 s.
+func soon[T any](t *testing.T, from <-chan T) (got T) {
+	t.Helper()
+	select {
+	case got = <-from:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing came in 10 s")
+	}
+	return got
+}
+
 // Callers that never stop sending don't hold a drain: each set-up that was written has one final answer, but for those that
 // cross the close of their connection, and the drain ends.
 func TestDrainEndsUnderCallersWhoGoOn(t *testing.T) {
@@ -77,7 +91,7 @@
 	go func() { defer close(drained); n.Drain() }()
 	select {
 	case <-drained:
-	case <-time.After(openFor + goOnFor + 5*time.Second):
+	case <-time.After(openFor + n.goOnFor() + 5*time.Second):
 		t.Fatal("the drain does not end")
 	}
 	clients.Wait()
@@ -86,6 +100,38 @@
 	}
 }
 
+// A process that ends releases no call that stands, however long its drain takes: the call goes on without it, and a release that
+// its server sends meanwhile is told on the connection, which is kept for it.
+func TestEndingLeavesCallsStanding(t *testing.T) {
+	n := testNode(t, &config.Deploy{})
+	release := make(chan struct{})
+	server := siptest.New(t, func(p *siptest.Party, e siptest.Entry) {
+		if siptest.Is("INVITE")(e.Msg) {
+			ok := p.Reply(e.Msg, 200, "OK", "")
+			e.Back(ok)
+			if keyOf(e.Msg) == "ends" {
+				bye := sip.Request("BYE", "sip:x@net").Set("Call-ID", e.Msg.Get("Call-ID")).Set("CSeq", "2 BYE").Set("Reason", "Q.850;cause=16")
+				go func() { <-release; e.Back(bye) }()
+			}
+		}
+	})
+	n.applied(routing.Update{Whole: true, Hosts: []routing.Host{{Name: "a", Addr: server.Addr("TCP"), State: control.Ready}}})
+	answers := make(chan string, 9)
+	c := dialJSON(t, n, func(m map[string]any) { answers <- fmt.Sprint(m["sid"], m["msg"]) })
+	for i, key := range []string{"stands", "ends"} {
+		id := fmt.Sprintf("%016x", i+1)
+		open(c, id, key, 4000)
+		require.Equal(t, id+"ready", soon(t, answers))
+	}
+	n.sendAway((*drain.Drain).End) // as Drain does, and then a call that is owed its answer holds it
+	time.Sleep(time.Duration(drain.Cut)*time.Microsecond + 5*sweepEvery)
+	close(release)
+	require.Equal(t, "0000000000000002close", soon(t, answers))
+	if n := server.Count(siptest.Is("BYE")); n != 0 || len(answers) != 0 {
+		t.Errorf("%d calls released by the process that ends, %d more messages to the caller", n, len(answers))
+	}
+}
+
 // A set-up that lies unread on an open connection at the last look at "nothing is owed" is answered before the connection
 // closes. The crossing is forced: the connection's reader is held while the set-up is written and the look is made.
 func TestSetupThatCrossesTheEndOfADrainIsAnswered(t *testing.T) {
@@ -272,7 +318,7 @@
 		id, class := fmt.Sprintf("%016x", i+1), []string{"menu-view", "diet"}[i%2]
 		body := strings.Repeat(fmt.Sprint(i, " "), 1+i%5)
 		fmt.Fprintf(c, `{"msg":"open","sid":%q,"attrs":{"class":%q,"left":3000,"key":"7%d"},"text":%q}`+"\n", id, class, i, body)
-		require.Equal(t, [2]string{id, fmt.Sprintf("%s 7%d %s", class, i, body)}, <-got)
+		require.Equal(t, [2]string{id, fmt.Sprintf("%s 7%d %s", class, i, body)}, soon(t, got))
 	}
 }
 
@@ -290,12 +336,37 @@
 	open(c, "0000000000000001", "1", 3000)
 	silent := dial(t, n)
 	io.WriteString(dial(t, n), `{"msg":"op`)
-	require.Equal(t, "ready", <-answers)
+	require.Equal(t, "ready", soon(t, answers))
 	open(c, "0000000000000002", "1", 3000)
 	n.Drain()
-	require.Equal(t, "ready", <-answers)
+	require.Equal(t, "ready", soon(t, answers))
 	n.Close()
 	server.Stop()
 	c.Close()
 	silent.Close()
 }
+
+// A caller whose front is told no tenant is nobody's: a limit on one customer bounds it on neither front, not the first one's
+// either.
+func TestNobodyIsTakenForTheFirstTenant(t *testing.T) {
+	site, err := control.ParseSite(strings.Replace(testSettings, `"classes"`, `"over-share-worth":0.1,"tenants":[{"name":"north","quota-per-s":1},{"name":"south","quota-per-s":9}],"classes"`, 1))
+	require.NoError(t, err)
+	require.Len(t, site.Tenants, 2)
+	cfg, err := config.Load(testConfig(t))
+	require.NoError(t, err)
+	cfg.Site = site
+	rules := quota.Limits{Parts: 1, Rules: []quota.Rule{{Name: "north", Tenant: 0, Class: -1, Prefix: true, PerS: 0.001, Burst: 1}}}
+	log, _ := logtest.NewNullLogger()
+	n := startNode(t, cfg, &config.Deploy{Limits: &config.Limits{Limits: rules}, SIPUDP: "127.0.0.1:0", DefaultClass: "menu-view"}, log)
+	withServer(t, n, 0)
+	got := make(chan string, 9)
+	c := dialJSON(t, n, func(m map[string]any) { got <- fmt.Sprint(m["sid"], m["msg"]) })
+	for i := range 3 {
+		id := fmt.Sprintf("%016x", i+1)
+		open(c, id, "1", 3000)
+		require.Equal(t, id+"ready", soon(t, got))
+		caller := siptest.New(t, nil)
+		caller.Send("UDP", n.agent.Addr("UDP"), caller.Invite("UDP", id, "1", ""))
+		caller.Wait("200", siptest.Status(200, "INVITE"))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"beammux/control"
+	"beammux/control/drain"
 	"beammux/control/fleetview"
 	"beammux/control/history"
 	"beammux/control/quota"
@@ -54,7 +55,6 @@
 	takeFor     = 500 * time.Millisecond // after SIGTERM new connections are taken for this long
 	openFor     = 700 * time.Millisecond // and set-ups on open ones
 	flushFor    = 300 * time.Millisecond // for what is queued at the end
-	goOnFor     = time.Second            // and beyond it, callers may go on before they are refused
 	settleEvery = 5 * time.Millisecond   // between looks at what is left at the end
 	ownFiles    = 24                     // descriptors that are neither callers' nor servers'
 	plainFiles  = 1024
@@ -407,7 +407,7 @@
 func (n *Node) Drain() {
 	n.log.Info("draining: answering what was taken")
 	n.core.Note(history.Event{Kind: history.Draining})
-	n.Evacuate()
+	n.sendAway((*drain.Drain).End)
 	n.tellFleet(fleetview.Leaving)
 	if n.agent != nil {
 		n.agent.Drain()
@@ -437,20 +437,17 @@
 }
 
 // settle waits until nothing is owed and no connection is left on which something could come to be: what is read after the
-// last look at "nothing is owed" is on a connection that stays open until it is answered too. Callers who go on sending don't
-// hold the process: once all was answered, or after goOnFor, what still comes is refused, and bytes that nobody has read
-// keep no connection open.
+// last look at "nothing is owed" is on a connection that stays open until it is answered too. Callers who go on sending on the
+// connections that are kept are served meanwhile, but they don't hold the process: past goOnFor what still comes is refused,
+// and bytes that nobody has read keep no connection open.
 func (n *Node) settle() {
 	var late atomic.Bool
-	turnAway := func() {
+	goOn := time.AfterFunc(n.goOnFor(), func() {
+		late.Store(true)
 		n.front.TurnAway()
 		if n.agent != nil {
 			n.agent.TurnAway()
 		}
-	}
-	goOn := time.AfterFunc(goOnFor, func() {
-		late.Store(true)
-		turnAway()
 	})
 	defer goOn.Stop()
 	for {
@@ -460,11 +457,20 @@
 		if n.listener.FinishIdle(late.Load()) {
 			return
 		}
-		turnAway()
 		time.Sleep(settleEvery)
 	}
 }
 
+// goOnFor leaves half of the time that a planned restart gives at the least: SIGKILL comes no sooner than the longest deadline,
+// counted as 3 s where it is longer, and openFor.
+func (n *Node) goOnFor() time.Duration {
+	longest := control.Micros(0)
+	for _, c := range n.cfg.Site.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(time.Duration(longest)*time.Microsecond, 3*time.Second) / 2
+}
+
 // ---- Store ----
 
 func (n *Node) openStore(begin context.Context) error {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -36,9 +36,11 @@
 }
 
 // Evacuate implements ops.Gatekeeper: the front's tests fail and connections close once nothing is owed on them.
-func (n *Node) Evacuate() {
+func (n *Node) Evacuate() { n.sendAway((*drain.Drain).Evacuate) }
+
+func (n *Node) sendAway(how func(*drain.Drain, control.Micros)) {
 	n.ops.mu.Lock()
-	n.ops.drain.Evacuate(n.ops.now())
+	how(&n.ops.drain, n.ops.now())
 	n.ops.mu.Unlock()
 	n.front.Drain()
 	n.tellFleet(fleetview.Draining)
@@ -49,7 +51,11 @@
 func (n *Node) Rejoin() {
 	n.ops.mu.Lock()
 	n.ops.drain.Rejoin(n.ops.now())
+	ready := n.ops.drain.Ready()
 	n.ops.mu.Unlock()
+	if !ready { // it ends
+		return
+	}
 	n.front.Rejoin()
 	n.tellFleet(fleetview.Ready)
 	n.log.Info("rejoined: clients are taken again")
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -124,7 +124,10 @@
 		text(w, http.StatusOK, "evacuating\n")
 	})
 	mux.HandleFunc("POST /api/rejoin", func(w http.ResponseWriter, _ *http.Request) {
-		g.Rejoin()
+		if g.Rejoin(); !g.Ready() { // it ends, or has not come up yet
+			text(w, http.StatusConflict, "not ready\n")
+			return
+		}
 		text(w, http.StatusOK, "rejoined\n")
 	})
 	return mux
--- a/internal/protocol/jsonl/endings_test.go
+++ b/internal/protocol/jsonl/endings_test.go
@@ -283,7 +283,7 @@
 	var all bytes.Buffer
 	want := map[string]routing.Setup{}
 	for i := range 200 {
-		s := routing.Setup{ID: fmt.Sprintf("%016x", i), Class: i % 2, Key: fmt.Sprint("7", i), FirstChoice: i % 3, WasCut: i%5 == 0,
+		s := routing.Setup{ID: fmt.Sprintf("%016x", i), Class: i % 2, Tenant: -1, Key: fmt.Sprint("7", i), FirstChoice: i % 3, WasCut: i%5 == 0,
 			Left: time.Duration(1000+i) * time.Millisecond, Body: []byte(strings.Repeat(fmt.Sprint(i), 1+i%7))}
 		again := 0
 		if s.WasCut {
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -448,7 +448,7 @@
 	if !known || key == "" || !routing.ValidKey(key) || len(m.Text) > routing.MaxBody {
 		return routing.Setup{}, ErrMalformed
 	}
-	s := routing.Setup{ID: m.ID, Class: class, Key: key, FirstChoice: -1,
+	s := routing.Setup{ID: m.ID, Class: class, Tenant: -1, Key: key, FirstChoice: -1,
 		Left: time.Duration(left * float64(time.Millisecond)), Body: []byte(m.Text)}
 	for part := range strings.SplitSeq(m.Attrs["extras"], ";") {
 		name, value, _ := strings.Cut(part, ":")
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -585,7 +585,7 @@
 	send(cancelOf(invite))
 	caller.Wait("487", Status(487, "INVITE"))
 	n := server.Count(Is("INVITE"))
-	time.Sleep(10 * quick.T1) // three copies would be due
+	time.Sleep(10 * quick.T1)                           // three copies would be due
 	if more := server.Count(Is("INVITE")); more > n+1 { // one may have been on its way
 		t.Errorf("%d copies went out after it was given up", more-n)
 	}
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -60,7 +60,7 @@
 		}
 	}
 	target, err := parseURI(m.URI)
-	s := routing.Setup{ID: k.id, Key: target.user, FirstChoice: -1, Body: m.Body, Excess: a.closing}
+	s := routing.Setup{ID: k.id, Tenant: -1, Key: target.user, FirstChoice: -1, Body: m.Body, Excess: a.closing}
 	bad := a.read(m, &s)
 	unread := func(status int, reason string, header ...string) { // in error_total, as on the JSON front
 		a.core.Unreadable(s.Class)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -25,8 +25,8 @@
 // Setup is a call as a front took it in.
 type Setup struct {
 	ID          string
-	Class       int // place in the settings, -1 for one that they don't name
-	Tenant      int
+	Class       int    // place in the settings, -1 for one that they don't name
+	Tenant      int    // place in the settings, -1 where its front is not told one
 	Key         string // number called
 	FirstChoice int    // cell
 	WasCut      bool
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -65,12 +65,15 @@
 	spoke  atomic.Bool  // a whole message has come on it
 	began  atomic.Bool  // a byte has come on it
 	left   atomic.Bool  // the other side has ended or broken it, as far as was read
+	taking atomic.Bool  // its owner has bytes that it has not gone through: it has not come back for more
 }
 
 // Read reads from the connection, and notes that something has come and that the other side has left.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.taking.Store(false)
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.began.Load() {
+	if n > 0 {
+		c.taking.Store(true)
 		c.began.Store(true)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -83,9 +86,12 @@
 // for a close: TCP tells the two apart for nobody who reads.
 func (c *Conn) Left() bool { return c.left.Load() }
 
-// unread tells whether bytes of the other side lie in the kernel that nobody has read: a close now would drop them. On a
-// connection that is no socket there are none.
+// unread tells whether bytes of the other side lie in the kernel, or with an owner who has not gone through them: a close now
+// would drop them. On a connection that is no socket there are none in the kernel.
 func (c *Conn) unread() bool {
+	if c.taking.Load() {
+		return true
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/transport/endings_test.go
+++ b/internal/transport/endings_test.go
@@ -53,6 +53,9 @@
 		t.Fatal("closed under a set-up that was read")
 	}
 	near.Unhold()
+	if l.FinishIdle(false) {
+		t.Fatal("closed over bytes that its owner has not gone through")
+	}
 	io.WriteString(far, "more")
 	until(t, "bytes", near.unread)
 	if !l.FinishIdle(true) || near.Hold() {
