--- a/cmd/beammux/endings_test.go
+++ b/cmd/beammux/endings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -147,3 +148,27 @@
 		t.Errorf("%d of %d ready within %v", soon, starts, limit)
 	}
 }
+
+// The page of the standing test names tests that there are.
+func TestStandingNamesTests(t *testing.T) {
+	page, err := os.ReadFile("../../docs/standing.md")
+	require.NoError(t, err)
+	var sources strings.Builder
+	for _, root := range []string{"../../cmd", "../../control", "../../internal"} {
+		require.NoError(t, filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+			if err == nil && strings.HasSuffix(path, "_test.go") {
+				text, err := os.ReadFile(path)
+				sources.Write(text)
+				return err
+			}
+			return err
+		}))
+	}
+	names := regexp.MustCompile(`\bTest[A-Z]\w+`).FindAllString(string(page), -1)
+	require.Greater(t, len(names), 50)
+	for _, name := range names {
+		if !strings.Contains(sources.String(), "\nfunc "+name+"(") {
+			t.Errorf("docs/standing.md names %s, which there is not", name)
+		}
+	}
+}
