Limits: a rule that goes to another customer under the same name begins anew

Seen in the code: Member.Change kept bucket, lease and standing calls by the rule's name alone, so after a reload one customer paid for another's calls. TestRuleOfAnotherCustomerBeginsAnew fails without the change.

--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -177,7 +177,8 @@
 	m.by, m.states = map[string]*state{}, nil
 	for _, r := range l.Rules {
 		s := was[r.Name]
-		if s == nil || s.Mode != r.Mode {
+		if s == nil || s.Mode != r.Mode || s.Tenant != r.Tenant || s.Class != r.Class || s.Number != r.Number || s.Prefix != r.Prefix {
+			// Another rule, whatever its name: what one customer spent is not held against another.
 			s = &state{}
 			s.bucket.at = now
 		}
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -414,3 +414,26 @@
 	require.True(t, errors.As(m.Crowded(0, 3), new(*TooMany)))
 	require.NoError(t, m.Crowded(0, 2))
 }
+
+// A rule that goes to another customer under the same name begins anew: the first one's calls that still stand
+// are not held against the second.
+func TestRuleOfAnotherCustomerBeginsAnew(t *testing.T) {
+	rule := func(tenant int) Limits {
+		return Limits{Parts: 1, Rules: []Rule{{Name: "a", Tenant: tenant, Class: -1, Prefix: true, Open: 1}}}
+	}
+	m := NewMember("g", 1, rule(0), 1e9)
+	claim, ok, _ := m.Take(1e9, 0, 0, "1")
+	if !ok {
+		t.Fatal("the first customer's first call is turned away")
+	}
+	if _, ok, _ := m.Take(1e9, 0, 0, "1"); ok {
+		t.Fatal("the limit bounds nobody")
+	}
+	m.Change(1e9, rule(1))
+	second, ok, _ := m.Take(1e9, 1, 0, "1")
+	if !ok {
+		t.Error("the second customer pays for the first one's calls")
+	}
+	m.Done(claim)
+	m.Done(second)
+}
