--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -73,3 +73,28 @@
 		t.Error("the fault does not name the port")
 	}
 }
+
+// ending is a gatekeeper whose process ends: it takes no rejoin.
+type ending struct{ fake }
+
+func (*ending) Rejoin() {}
+
+// A rejoin that is not taken is answered no.
+func TestRejoinInAProcessThatEnds(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	for want, g := range map[int]Gatekeeper{http.StatusOK: &fake{}, http.StatusConflict: &ending{}} {
+		s, err := Listen("127.0.0.1:0", g, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := (&http.Client{Timeout: time.Second}).Post("http://"+s.Addr()+"/api/rejoin", "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("answered %d, want %d", resp.StatusCode, want)
+		}
+		s.Close()
+	}
+}
