Log and count why calls end that neither side released

Change: a line for each call that ends with its server (reason: removed, started again, process ended, unreachable), one for the server with their number, releases that wait for or miss a connection on either side, and how long a connection was silent; bounded to 5 a second by internal/loglimit. proxy_calls_lost_total counts them. Behaviour is as before.

Checked: tests of routing, node, sip, jsonl and loglimit pass.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,7 @@
 		}
 	}
 	set.NewGauge("proxy_concurrent", func() float64 { return float64(f.Open.Load()) })
+	set.NewGauge("proxy_calls_lost_total", func() float64 { return float64(f.CallsLost.Load()) })
 	set.NewGauge("proxy_targets", func() float64 { return float64(f.Targets.Load()) })
 	set.NewGauge("proxy_targets_disabled", func() float64 { return float64(f.Disabled.Load()) })
 	return &exporter{set: set}
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"beammux/control/drain"
+	"beammux/internal/loglimit"
 	"beammux/internal/routing"
 	"beammux/internal/transport"
 )
@@ -64,6 +65,7 @@
 	core     Core
 	classes  map[string]int
 	log      logrus.FieldLogger
+	endings  *loglimit.Limiter // log of releases that could not be sent on the connection of their call
 	draining atomic.Bool
 	closing  atomic.Bool
 
@@ -75,13 +77,15 @@
 
 // pendingRelease is a release that waits for a connection until an expiry time.
 type pendingRelease struct {
+	id      string
 	data    []byte
 	expires time.Time
 }
 
 // NewFront returns a front. classes are the names of the classes in the order of the settings.
 func NewFront(core Core, classes []string, log logrus.FieldLogger) *Front {
-	f := &Front{core: core, classes: map[string]int{}, established: map[string]*conn{}, log: log}
+	f := &Front{core: core, classes: map[string]int{}, established: map[string]*conn{}, log: log,
+		endings: loglimit.New(log)}
 	for i, name := range classes {
 		f.classes[name] = i
 	}
@@ -378,9 +382,12 @@
 	defer f.mu.Unlock()
 	for i := len(f.conns) - 1; i >= 0; i-- {
 		if send(f.conns[i]) {
+			f.endings.Info("release sent on another connection than its call's",
+				logrus.Fields{"call": release.id, "caller": f.conns[i].RemoteAddr()})
 			return
 		}
 	}
+	f.endings.Info("release waits for a connection of a caller", logrus.Fields{"call": release.id})
 	now := time.Now()
 	f.pending = slices.DeleteFunc(f.pending, func(release pendingRelease) bool { return now.After(release.expires) })
 	if now.Before(release.expires) {
@@ -492,7 +499,7 @@
 // Orphan sends the release of a call that was established before this process started.
 func (f *Front) Orphan(id string, cause int) {
 	m := Message{Type: "close", ID: id, Code: cause}
-	f.deliver(nil, pendingRelease{m.Append(nil), time.Now().Add(releaseTimeout)})
+	f.deliver(nil, pendingRelease{id, m.Append(nil), time.Now().Add(releaseTimeout)})
 }
 
 // caller implements routing.Caller for one call.
@@ -543,5 +550,5 @@
 func (c *caller) Release(cause int) {
 	c.front.removeCall(c.id)
 	m := Message{Type: "close", ID: c.id, Code: cause}
-	c.front.deliver(c.conn, pendingRelease{m.Append(nil), time.Now().Add(releaseTimeout)})
+	c.front.deliver(c.conn, pendingRelease{c.id, m.Append(nil), time.Now().Add(releaseTimeout)})
 }
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -194,6 +194,8 @@
 		m, err = r.Next()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.dialer.Log.WithFields(logrus.Fields{"address": c.conn.RemoteAddr(), "silent_ms": silence.Milliseconds(),
+			"reports": c.reportCount()}).Info("connection to server is silent: closed")
 		err = errSilent
 	}
 	if err == nil {
@@ -211,6 +213,13 @@
 	return m, err
 }
 
+// reportCount returns how many report intervals are known, at most maxGaps.
+func (c *platformConn) reportCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.reportGaps)
+}
+
 // maxSilence returns the longest time without a message on a working connection, or 0 while it is unknown. One interval is not
 // enough to know it: the first report arrives as soon as the connection is open, so the first interval is irregular.
 func (c *platformConn) maxSilence() time.Duration {
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"beammux/control"
 	"beammux/internal/counting"
 	"beammux/internal/history"
@@ -198,17 +200,38 @@
 		Elapsed: c.clock.now() - a.sentAt, Settled: true, Report: report})
 }
 
-// serverDied ends the calls established at a peer before the given time, because the server process has ended. With tell,
-// which is set where the end of the process is not certain, the calls are released at the server as well.
-func (c *Core) serverDied(p *Peer, before control.Micros, notifyServer bool) {
+// serverLoss is why the calls established at a server are over although the server has not released them.
+type serverLoss string
+
+// The reasons of a serverLoss.
+const (
+	serverRemoved     serverLoss = "removed from the list"
+	serverRestarted   serverLoss = "started again, by the list"
+	serverProcessDied serverLoss = "process ended: connections reset, then refused"
+	serverUnreachable serverLoss = "unreachable"
+)
+
+// processMayLive reports whether the server's process may still run and hold the calls.
+func (l serverLoss) processMayLive() bool { return l == serverUnreachable }
+
+// serverDied ends the calls established at a peer before the given time, because the server is lost. If its process may still
+// run, the calls are released at the server as well.
+func (c *Core) serverDied(p *Peer, before control.Micros, loss serverLoss) {
+	ended := 0
 	for _, call := range c.calls {
 		if call.established && call.current.peer == p && call.establishedAt < before {
-			if notifyServer {
+			if loss.processMayLive() {
 				p.release(call.ID, CauseNormal)
 			}
+			c.endings.Info("call ended with its server", logrus.Fields{"call": call.ID, "server": p.server, "reason": loss})
 			c.endEstablished(call, control.Cut, CauseFailed, nil)
+			ended++
 		}
 	}
+	if ended > 0 {
+		c.stats.CallsLost.Add(int64(ended))
+		p.log.WithFields(logrus.Fields{"calls": ended, "reason": loss}).Info("server lost: its calls are released")
+	}
 }
 
 // status handles a load report that a server sent without a request.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -11,6 +11,7 @@
 	"beammux/internal/actor"
 	"beammux/internal/counting"
 	"beammux/internal/history"
+	"beammux/internal/loglimit"
 )
 
 // Core is the actor that owns the decision module (a control.Controller), the table of calls and their timers. Races between
@@ -40,6 +41,7 @@
 	viewsReadAt   control.Micros
 	lastReports   map[uint32][]float64 // last recorded load report, by server
 
+	endings          *loglimit.Limiter // log of calls that did not end in the ordinary way
 	stats            *Stats
 	observers        []Observer
 	countedViews     []control.View // buffer of countTargets
@@ -51,7 +53,7 @@
 	c := &Core{Actor: actor.New(), clock: newClock(), module: control.New(settings, seed), log: log, peers: map[uint32]*Peer{},
 		calls: map[string]*callState{}, releaseGuard: settings.ReleaseGuard,
 		recorder: eventRecorder, classes: settings.Classes, recordedViews: map[uint32]recordedView{}, lastReports: map[uint32][]float64{},
-		stats: newStats(len(settings.Classes))}
+		endings: loglimit.New(log), stats: newStats(len(settings.Classes))}
 	c.Post(func() { c.handle(control.Start{}) })
 	return c
 }
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -13,6 +13,8 @@
 	Open     atomic.Int64 // calls that are unanswered, or established and not yet released
 	Targets  atomic.Int64 // servers on the list
 	Disabled atomic.Int64 // servers on the list that are avoided now
+
+	CallsLost atomic.Int64 // established calls that ended with their server, without a release from it
 }
 
 // classStats are the counters of one class.
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -169,9 +169,12 @@
 		c.conn.Close()
 	}
 	p.failQueued(control.NotSent)
+	for _, r := range p.pendingReleases {
+		p.core.endings.Info("release to a removed server dropped", logrus.Fields{"call": r.id, "server": p.server})
+	}
 	p.pendingReleases = nil
 	retiredAt := p.core.clock.now()
-	p.core.Post(func() { p.core.serverDied(p, retiredAt+1, false) })
+	p.core.Post(func() { p.core.serverDied(p, retiredAt+1, serverRemoved) })
 	p.After(lingerTime, p.Stop)
 }
 
@@ -261,14 +264,14 @@
 		// Reset and then refused: the server process died, and its calls with it. It can't release them itself.
 		p.wasReset, p.disconnectedAt = false, 0
 		lostAt := p.lastClosedAt
-		p.core.Post(func() { p.core.serverDied(p, lostAt+1, false) })
+		p.core.Post(func() { p.core.serverDied(p, lostAt+1, serverProcessDied) })
 	case p.disconnectedAt > 0 && span(now-p.disconnectedAt) >= unreachableAfter:
 		// The server's machine has failed or is partitioned, and sent no releases. No other process releases its calls. The
 		// releases are also queued for the server, in case it comes back.
 		lostAt := p.disconnectedAt
 		p.disconnectedAt = 0
 		p.log.Warn("server unreachable: releasing its calls")
-		p.core.Post(func() { p.core.serverDied(p, lostAt+1, true) })
+		p.core.Post(func() { p.core.serverDied(p, lostAt+1, serverUnreachable) })
 	}
 }
 
@@ -348,6 +351,7 @@
 		if best != nil {
 			best.conn.Release(id, cause)
 		} else if !p.gone() {
+			p.core.endings.Info("release waits for a connection to the server", logrus.Fields{"call": id, "server": p.server})
 			p.pendingReleases = append(p.pendingReleases, pendingRelease{id, cause})
 			p.connect()
 		}
