--- /dev/null
+++ b/cmd/beammux/standing_calls_test.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"beammux/internal/protocol/jsonl"
+	"beammux/internal/protocol/sip"
+	"beammux/internal/relay"
+)
+
+// Limits of the protocol for a call that has stood and is over: 1 s after the server's release was written, 8 s after its end
+// where nothing could be sent; 50 ms more on sockets.
+const (
+	releaseLimit = time.Second + 50*time.Millisecond
+	endLimit     = 8*time.Second + 50*time.Millisecond
+)
+
+// menuServer is a menu server whose every step a test decides. It accepts each set-up at once, and sends its state on each new
+// connection and, if reportInterval is not zero, periodically.
+type menuServer struct {
+	reportInterval time.Duration
+	listener       net.Listener
+
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	callConn map[string]net.Conn // connection of each set-up
+	released map[string]time.Time
+	accepted int // connections
+}
+
+func startMenuServer(t *testing.T, reportInterval time.Duration) *menuServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	s := &menuServer{reportInterval: reportInterval, listener: listener, conns: map[net.Conn]struct{}{},
+		callConn: map[string]net.Conn{}, released: map[string]time.Time{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *menuServer) serve(conn net.Conn) {
+	defer conn.Close()
+	s.mu.Lock()
+	s.conns[conn] = struct{}{}
+	s.accepted++
+	s.mu.Unlock()
+	report := sip.Request("NOTIFY", "sip:peer@net").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", "0000000000000000").
+		Set("CSeq", "1 NOTIFY").Set("X-Occupancy", "spare:20;total:40;busy:0.1;q:0").Append(nil)
+	conn.Write(report)
+	if s.reportInterval > 0 {
+		tick := time.NewTicker(s.reportInterval)
+		defer tick.Stop()
+		go func() {
+			for range tick.C {
+				if _, err := conn.Write(report); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	in := sip.NewReader(bufio.NewReader(conn))
+	for {
+		m, err := in.Next()
+		if err != nil {
+			return
+		}
+		id := m.Get("Call-ID")
+		s.mu.Lock()
+		switch m.Method {
+		case "INVITE":
+			s.callConn[id] = conn
+			answer := sip.Respond(m, 200, "OK")
+			answer.Body = []byte("answer " + id)
+			conn.Write(answer.Append(nil))
+		case "BYE":
+			if _, repeated := s.released[id]; !repeated {
+				s.released[id] = time.Now()
+			}
+			conn.Write(sip.Respond(m, 200, "OK").Append(nil))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// caller is a client's connection to the gatekeeper. It confirms releases, as clients do.
+type caller struct {
+	conn     net.Conn
+	messages chan jsonl.Message
+}
+
+func dialCaller(t *testing.T, addr string) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	c := &caller{conn: conn, messages: make(chan jsonl.Message, 100)}
+	t.Cleanup(func() { conn.Close() })
+	go func() {
+		defer close(c.messages)
+		for in := jsonl.NewReader(bufio.NewReader(conn)); ; {
+			m, err := in.Next()
+			if err != nil {
+				return
+			}
+			if m.Type == "close" {
+				fmt.Fprintf(conn, `{"msg":"closed","sid":%q,"attrs":{}}`+"\n", m.ID)
+			}
+			c.messages <- m
+		}
+	}()
+	return c
+}
+
+// establish sets up a call and waits for its answer.
+func (c *caller) establish(t *testing.T, id string) {
+	t.Helper()
+	fmt.Fprintf(c.conn, `{"msg":"open","sid":%q,"attrs":{"class":"menu-view","left":5000,"key":"1"},"text":"offer"}`+"\n", id)
+	m := c.next(t, 5*time.Second)
+	require.Equal(t, "ready", m.Type, "the answer to the set-up: %v", m)
+	require.Equal(t, id, m.ID)
+}
+
+// next returns the next message.
+func (c *caller) next(t *testing.T, timeout time.Duration) jsonl.Message {
+	t.Helper()
+	select {
+	case m, open := <-c.messages:
+		require.True(t, open, "the connection ended")
+		return m
+	case <-time.After(timeout):
+		require.Fail(t, "no message within "+timeout.String())
+		return jsonl.Message{}
+	}
+}
+
+// requireReleased waits for the releases of calls, in any order.
+func (c *caller) requireReleased(t *testing.T, timeout time.Duration, ids ...string) {
+	t.Helper()
+	began := time.Now()
+	open := map[string]bool{}
+	for _, id := range ids {
+		open[id] = true
+	}
+	for len(open) > 0 {
+		select {
+		case m, ok := <-c.messages:
+			require.True(t, ok, "the connection ended")
+			if m.Type == "close" {
+				delete(open, m.ID)
+			}
+		case <-time.After(time.Until(began.Add(timeout))):
+			require.Fail(t, "calls left standing", "%d of %d calls are not released after %v", len(open), len(ids), timeout)
+		}
+	}
+	t.Logf("released after %v", time.Since(began).Round(time.Millisecond))
+}
+
+// Processes behind the relay.
+const (
+	gatekeeperName = "gatekeeper"
+	serverName     = "server"
+	clientsName    = "clients"
+)
+
+// standingCalls is a gatekeeper process with one menu server and a faulty network on both of its sides.
+type standingCalls struct {
+	network *relay.Network
+	server  *menuServer
+	process *os.Process
+	addr    string // where clients reach the gatekeeper, through the network
+	direct  string // its own address
+}
+
+func startStandingCalls(t *testing.T, reportInterval time.Duration) *standingCalls {
+	t.Helper()
+	s := &standingCalls{network: relay.New(1), server: startMenuServer(t, reportInterval)}
+	t.Cleanup(s.network.Close)
+	toServer, err := s.network.TCP(gatekeeperName, serverName, "")
+	require.NoError(t, err)
+	s.network.Up(serverName, "", s.server.listener.Addr().String())
+	toGatekeeper, err := s.network.TCP(clientsName, gatekeeperName, "")
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "config.json")
+	known := fmt.Sprintf(`{"offset":1,"batch":[{"offset":1,"topology":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"block":0,"health":"up","share":1,"born_ms":0}]}}]}`, toServer.Addr())
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","known":%s,"settings":%s}`, known, oneClass)
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	cmd := newProgram("serve", "--log-format", "json")
+	cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file)
+	s.direct = startUntilLogged(t, cmd, "serving")
+	s.process = cmd.Process
+	t.Cleanup(func() {
+		cmd.Process.Signal(syscall.SIGKILL)
+		cmd.Wait()
+	})
+	s.network.Up(gatekeeperName, "", s.direct)
+	s.addr = toGatekeeper.Addr()
+	return s
+}
+
+// silence is how a server stops being heard.
+type silence struct {
+	name string
+	mode relay.Mode
+}
+
+// The kinds of silence: a machine that is lost, to which no connection comes up, and a process that hangs, for which the kernel
+// of its machine still accepts connections.
+var silences = []silence{{"lost machine", relay.Lost}, {"hung process", relay.BlackHole}}
+
+// silenceServer makes the server silent towards the gatekeeper. Open connections stay open.
+func (s *standingCalls) silenceServer(kind silence) {
+	s.network.SetMode(gatekeeperName, serverName, kind.mode)
+}
+
+// callIDs returns n call ids.
+func callIDs(n int) (ids []string) {
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("%016x", i+1))
+	}
+	return ids
+}
+
+// Guards against calls left standing at a server that falls silent: callers must read the release within 8 s whatever the
+// interval of its reports, and however young its connections are.
+func TestSilentServerLeavesNoCallStanding(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		reportInterval time.Duration
+		age            time.Duration // of the connections when the server falls silent
+	}{
+		{"reports every 500 ms", 500 * time.Millisecond, 3 * time.Second},
+		{"reports every 2400 ms", 2400 * time.Millisecond, 8 * time.Second},
+		{"one report on each connection", 0, time.Second},
+		{"young connections", 500 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		for _, kind := range silences {
+			t.Run(c.name+", "+kind.name, func(t *testing.T) {
+				t.Parallel()
+				s := startStandingCalls(t, c.reportInterval)
+				client := dialCaller(t, s.addr)
+				began := time.Now()
+				ids := callIDs(5)
+				for _, id := range ids {
+					client.establish(t, id)
+				}
+				time.Sleep(time.Until(began.Add(c.age)))
+				s.silenceServer(kind)
+				client.requireReleased(t, endLimit, ids...)
+			})
+		}
+	}
+}
--- a/internal/relay/condition.go
+++ b/internal/relay/condition.go
@@ -7,6 +7,7 @@
 //
 //   - a cut direction buffers TCP data and delivers it after the heal, as retransmission would; datagrams are lost;
 //   - a dead process refuses connections: the listeners of its links are closed while their ports stay reserved;
+//   - a lost machine leaves open connections silent and drops the first packet of new ones;
 //   - a black hole accepts connections and never answers, like an overloaded host behind a load balancer;
 //   - a reset is an RST (SO_LINGER 0), possibly in the middle of a message.
 //
@@ -66,4 +67,5 @@
 	Open      Mode = iota // connections are forwarded
 	Refuse                // new connections are refused, open ones are reset
 	BlackHole             // connections are accepted and never answered; open ones stop forwarding
+	Lost                  // connections never come up, like those to a machine without power; open ones stop forwarding
 )
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	chunkSize       = 16 << 10 // bytes per read
-	maxQueuedChunks = 32       // chunks queued in one direction of a connection; beyond it the sender blocks, as on a full socket buffer
-	dialTimeout     = 2 * time.Second
-	maxPacketSize   = 64 << 10
-	natTimeout      = 30 * time.Second     // idle time after which the return path of a datagram sender is forgotten
-	minReorderDelay = 5 * time.Millisecond // minimum extra delay of a reordered datagram
+	chunkSize            = 16 << 10 // bytes per read
+	maxQueuedChunks      = 32       // chunks queued in one direction of a connection; beyond it the sender blocks, as on a full socket buffer
+	dialTimeout          = 2 * time.Second
+	maxPacketSize        = 64 << 10
+	natTimeout           = 30 * time.Second     // idle time after which the return path of a datagram sender is forgotten
+	fillersBeyondBacklog = 2                    // connections that fill an accept queue: one more than its length, and one to spare
+	minReorderDelay      = 5 * time.Millisecond // minimum extra delay of a reordered datagram
 )
 
 // Link forwards the connections or datagrams that one process opens to one service of another.
@@ -33,7 +34,8 @@
 	inbound  *direction // from To to From
 
 	port            int
-	portGuard       int // bound socket that reserves the port while the listener is closed; -1 for UDP
+	portGuard       int   // bound socket that reserves the port while the listener is closed; -1 for UDP
+	fillers         []int // connections that fill the accept queue of portGuard while the link is Lost
 	udp             *net.UDPConn
 	wg              sync.WaitGroup
 	resetAfterBytes atomic.Int64 // bytes after which a connection is reset, see Network.Reset; 0: never
@@ -50,6 +52,8 @@
 	closed      bool
 }
 
+var loopback = [4]byte{127, 0, 0, 1}
+
 // reusePort listens with SO_REUSEPORT, so that the listener can share the port with the link's portGuard socket.
 var reusePort = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
 	if e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
@@ -67,23 +71,31 @@
 	}
 	// A bound socket that does not listen reserves the port while the kernel refuses connections to it. The link can thus
 	// refuse connections like a dead process and listen again later at the same address.
-	if l.portGuard, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0); err != nil {
+	if l.portGuard, l.port, err = reservePort(0); err != nil {
 		return nil, err
 	}
-	err = unix.SetsockoptInt(l.portGuard, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	return l, n.addLink(l)
+}
+
+// reservePort returns a socket that is bound to a port of 127.0.0.1, or to a free one if port is 0.
+func reservePort(port int) (guard, bound int, err error) {
+	guard, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, 0, err
+	}
+	err = unix.SetsockoptInt(guard, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 	if err == nil {
-		err = unix.Bind(l.portGuard, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+		err = unix.Bind(guard, &unix.SockaddrInet4{Port: port, Addr: loopback})
 	}
-	var bound unix.Sockaddr
+	var address unix.Sockaddr
 	if err == nil {
-		bound, err = unix.Getsockname(l.portGuard)
+		address, err = unix.Getsockname(guard)
 	}
 	if err != nil {
-		unix.Close(l.portGuard)
-		return nil, err
+		unix.Close(guard)
+		return -1, 0, err
 	}
-	l.port = bound.(*unix.SockaddrInet4).Port
-	return l, n.addLink(l)
+	return guard, address.(*unix.SockaddrInet4).Port, nil
 }
 
 // UDP opens a link for datagrams. Datagrams that To sends back to the source address are returned to the original sender.
@@ -191,7 +203,12 @@
 	if l.closed || l.udp != nil {
 		return
 	}
-	listens := l.target != "" && l.mode != Refuse
+	listens := l.target != "" && l.mode != Refuse && l.mode != Lost
+	if l.mode == Lost {
+		l.dropNewConnections()
+		return
+	}
+	defer l.acceptNewConnections()
 	switch {
 	case listens && l.listener == nil:
 		listener, err := reusePort.Listen(context.Background(), "tcp4", l.Addr())
@@ -209,6 +226,52 @@
 	}
 }
 
+// dropNewConnections makes the kernel drop the first packet of each new connection: it does so where the accept queue of the
+// listening socket is full. Open connections stay open. The caller holds l.mu.
+func (l *Link) dropNewConnections() {
+	if l.fillers != nil {
+		return
+	}
+	if l.listener != nil {
+		l.listener.Close()
+		l.listener = nil
+	}
+	const backlog = 0 // one connection fits into the queue
+	if unix.Listen(l.portGuard, backlog) != nil {
+		return
+	}
+	for range backlog + fillersBeyondBacklog {
+		filler, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+		if err != nil {
+			return
+		}
+		unix.Connect(filler, &unix.SockaddrInet4{Port: l.port, Addr: loopback})
+		l.fillers = append(l.fillers, filler)
+	}
+}
+
+// acceptNewConnections ends dropNewConnections, after the link's listener has taken over the port. The caller holds l.mu.
+func (l *Link) acceptNewConnections() {
+	if l.fillers == nil {
+		return
+	}
+	l.closeFillers()
+	unix.Close(l.portGuard)
+	guard, _, err := reservePort(l.port)
+	if err != nil { // the listener, if there is one, still holds the port
+		guard = -1
+	}
+	l.portGuard = guard
+}
+
+// closeFillers closes the connections that fill the accept queue. The caller holds l.mu.
+func (l *Link) closeFillers() {
+	for _, filler := range l.fillers {
+		unix.Close(filler)
+	}
+	l.fillers = nil
+}
+
 // resetAll resets all open connections.
 func (l *Link) resetAll() {
 	l.mu.Lock()
@@ -228,6 +291,7 @@
 	if l.listener != nil {
 		l.listener.Close()
 	}
+	l.closeFillers()
 	if l.portGuard >= 0 {
 		unix.Close(l.portGuard)
 	}
@@ -342,7 +406,7 @@
 		}
 	}
 	target, mode := l.connectTarget()
-	if mode == BlackHole {
+	if mode == BlackHole || mode == Lost {
 		<-p.done
 		return false
 	}
@@ -454,7 +518,7 @@
 	for {
 		c, changed := d.now()
 		_, mode := p.link.connectTarget()
-		if !c.Cut && mode != BlackHole {
+		if !c.Cut && mode != BlackHole && mode != Lost {
 			wait := time.Until(at)
 			if wait <= 0 {
 				select {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// A lost machine answers nothing: open connections stay open and silent, new ones don't come up within their time.
+func TestLostMachine(t *testing.T) {
+	n, l := network(t)
+	n.Up("b", "", echo(t))
+	open := dial(t, l)
+	roundTrip(t, open, "before")
+	n.SetMode("a", "b", Lost)
+	c, err := net.DialTimeout("tcp4", l.Addr(), 300*time.Millisecond)
+	if timeout := net.Error(nil); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Fatalf("a new connection: %v, %v", c, err)
+	}
+	io.WriteString(open, "during")
+	if !silent(open) {
+		t.Fatal("the open connection is not silent")
+	}
+	n.SetMode("a", "b", Open)
+	roundTrip(t, dial(t, l), "after")
+}
+
 // Data and the end of the stream arrive complete and in order for any write sizes and any jitter.
 func TestBytesPassUnchanged(t *testing.T) {
 	n, l := network(t)
