End calls at a lost server however late the core handled their answer

Callers: a call that was answered just before its server was lost, or removed from the list, was never released.

Cause: serverDied ended the calls whose answer the core handled before the moment at which the peer saw the loss. With the core behind by some milliseconds the answer, which the peer had posted first, was handled after that moment, and the call stayed, also when the list removed the server.

Change: losses that a peer sees end every call established there; the order of the mailbox says which those are. Only a restart that the list tells of goes by time.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -214,9 +215,13 @@
 // processMayLive reports whether the server's process may still run and hold the calls.
 func (l serverLoss) processMayLive() bool { return l == serverUnreachable }
 
-// serverDied ends the calls established at a peer before the given time, because the server is lost. If its process may still
-// run, the calls are released at the server as well.
-func (c *Core) serverDied(p *Peer, before control.Micros, loss serverLoss) {
+// serverLost ends the calls established at a peer, because the server is lost. If its process may still run, the calls are
+// released at the server as well. The peer posts it after the answers that it received, so every call that it finds was
+// established before the loss, however late the core is.
+func (c *Core) serverLost(p *Peer, loss serverLoss) { c.serverLostBefore(p, math.MaxInt64, loss) }
+
+// serverLostBefore is serverLost for the calls established before a time.
+func (c *Core) serverLostBefore(p *Peer, before control.Micros, loss serverLoss) {
 	ended := 0
 	for _, call := range c.calls {
 		if call.established && call.current.peer == p && call.establishedAt < before {
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -133,7 +133,7 @@
 		entry.since = l.core.clock.fromUnix(h.Since)
 		if h.Since > entry.Since { // the process was restarted: calls established at the old one have ended
 			p, since := entry.peer, entry.since
-			l.core.Post(func() { l.core.serverDied(p, since, serverRestarted) })
+			l.core.Post(func() { l.core.serverLostBefore(p, since, serverRestarted) })
 		}
 	}
 	entry.Host, entry.source = h, source
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -111,9 +111,8 @@
 	redialTimer     *time.Timer      // next dial, nil if none is scheduled
 	pendingReleases []pendingRelease // releases that wait for a connection
 	wasReset        bool             // a connection was reset since the last successful dial: the server process may have died
-	lastClosedAt    control.Micros
-	disconnectedAt  control.Micros // since when no connection is open; 0 while one is, and once the server's calls were ended
-	warnedAt        control.Micros // when a failed connect was last logged
+	disconnectedAt  control.Micros   // since when no connection is open; 0 while one is, and once the server's calls were ended
+	warnedAt        control.Micros   // when a failed connect was last logged
 	ctx             context.Context
 	stopDial        context.CancelFunc
 }
@@ -173,8 +172,7 @@
 		p.core.endings.Info("release to a removed server dropped", logrus.Fields{"call": r.id, "server": p.server})
 	}
 	p.pendingReleases = nil
-	retiredAt := p.core.clock.now()
-	p.core.Post(func() { p.core.serverDied(p, retiredAt+1, serverRemoved) })
+	p.core.Post(func() { p.core.serverLost(p, serverRemoved) })
 	p.After(lingerTime, p.Stop)
 }
 
@@ -263,15 +261,13 @@
 	case p.wasReset && errors.Is(err, syscall.ECONNREFUSED):
 		// Reset and then refused: the server process died, and its calls with it. It can't release them itself.
 		p.wasReset, p.disconnectedAt = false, 0
-		lostAt := p.lastClosedAt
-		p.core.Post(func() { p.core.serverDied(p, lostAt+1, serverProcessDied) })
+		p.core.Post(func() { p.core.serverLost(p, serverProcessDied) })
 	case p.disconnectedAt > 0 && span(now-p.disconnectedAt) >= unreachableAfter:
 		// The server's machine has failed or is partitioned, and sent no releases. No other process releases its calls. The
 		// releases are also queued for the server, in case it comes back.
-		lostAt := p.disconnectedAt
 		p.disconnectedAt = 0
 		p.log.Warn("server unreachable: releasing its calls")
-		p.core.Post(func() { p.core.serverDied(p, lostAt+1, serverUnreachable) })
+		p.core.Post(func() { p.core.serverLost(p, serverUnreachable) })
 	}
 }
 
@@ -475,11 +471,11 @@
 			p.dialing = nil
 		}
 		p.removeConn(c)
-		p.wasReset, p.lastClosedAt = p.wasReset || errors.Is(err, syscall.ECONNRESET), p.core.clock.now()
+		p.wasReset = p.wasReset || errors.Is(err, syscall.ECONNRESET)
 		if len(p.conns) == 0 {
 			p.failQueued(control.NotSent)
 			if p.disconnectedAt == 0 {
-				p.disconnectedAt = p.lastClosedAt
+				p.disconnectedAt = p.core.clock.now()
 			}
 		}
 		if c.received {
