Release the calls of a silent server within 8 s, whatever its connections look like

Cause, class: an open or accepted connection was taken for a sign of life. (1) A connection was closed as silent after 2.5 times its longest recent report interval, without a limit, and only then the 4 s to the release began: 2.4 s between two reports give 10 s and the dial. (2) Before its third report a connection had no limit at all. (3) A new connection that the kernel accepts for a hung process started the 4 s anew each time. (4) The releases that waited were written on such a connection, and lost.

Change, at the owner of a server's state, routing.Peer: what counts is when anything was received (control/liveness, pure). Releases wait for a connection on which something was received; one on which nothing comes for 2 s is closed.

--- a/cmd/beammux/standing_calls_test.go
+++ b/cmd/beammux/standing_calls_test.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// heardRelease reports whether the gatekeeper has released a call here.
+func (s *menuServer) heardRelease(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.released[id]
+	return ok
+}
+
 // caller is a client's connection to the gatekeeper. It confirms releases, as clients do.
 type caller struct {
 	conn     net.Conn
@@ -230,6 +238,9 @@
 	s.network.SetMode(gatekeeperName, serverName, kind.mode)
 }
 
+// restoreServer ends the silence.
+func (s *standingCalls) restoreServer() { s.network.SetMode(gatekeeperName, serverName, relay.Open) }
+
 // callIDs returns n call ids.
 func callIDs(n int) (ids []string) {
 	for i := range n {
@@ -268,3 +279,26 @@
 		}
 	}
 }
+
+// Guards against calls left standing at a server that was silent for some seconds and returns: it must read the releases too.
+func TestReturningServerReadsReleases(t *testing.T) {
+	for _, kind := range silences {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			s := startStandingCalls(t, 500*time.Millisecond)
+			client := dialCaller(t, s.addr)
+			ids := callIDs(3)
+			for _, id := range ids {
+				client.establish(t, id)
+			}
+			time.Sleep(2 * time.Second)
+			s.silenceServer(kind)
+			client.requireReleased(t, endLimit, ids...)
+			s.restoreServer()
+			for _, id := range ids {
+				require.Eventually(t, func() bool { return s.server.heardRelease(id) }, endLimit, 10*time.Millisecond,
+					"the server has not read the release of call %s", id)
+			}
+		})
+	}
+}
--- a/internal/node/dialer.go
+++ b/internal/node/dialer.go
@@ -19,6 +19,9 @@
 // MaxConns implements routing.Dialer.
 func (d *dialer) MaxConns(addr string) int { return d.dialerFor(addr).MaxConns(addr) }
 
+// Announces implements routing.Dialer.
+func (d *dialer) Announces(addr string) bool { return d.dialerFor(addr).Announces(addr) }
+
 // Dial implements routing.Dialer.
 func (d *dialer) Dial(ctx context.Context, addr string, events routing.ServerEvents) (routing.ServerConn, error) {
 	return d.dialerFor(addr).Dial(ctx, addr, events)
@@ -40,6 +43,8 @@
 
 func (noDialer) MaxConns(string) int { return 1 }
 
+func (noDialer) Announces(string) bool { return false }
+
 func (noDialer) Dial(_ context.Context, addr string, _ routing.ServerEvents) (routing.ServerConn, error) {
 	return nil, fmt.Errorf("server %s requires the SIP front, which is disabled", addr)
 }
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -36,6 +36,9 @@
 // MaxConns implements routing.Dialer.
 func (d *PlatformDialer) MaxConns(string) int { return maxPlatformConns }
 
+// Announces implements routing.Dialer. A menu server sends its load report on each new connection before anything else.
+func (d *PlatformDialer) Announces(string) bool { return true }
+
 // Dial implements routing.Dialer. addr is a host and port.
 func (d *PlatformDialer) Dial(ctx context.Context, addr string, events routing.ServerEvents) (routing.ServerConn, error) {
 	conn, err := d.Budget.Dial(ctx, addr, d.Timeout)
@@ -73,6 +76,7 @@
 // Thresholds for detecting a silent connection: it is open, but nothing arrives on it any more. Its set-ups are lost, and so
 // are the releases of established calls.
 const (
+	announceTimeout     = 2 * time.Second        // for the message that a server sends on each new connection
 	wholeMessageTimeout = 250 * time.Millisecond // for a message to be complete once it has begun
 	minSilence          = time.Second            // a shorter silence is normal
 	silenceGaps         = 2.5                    // longest silence, as a multiple of the longest recent report interval
@@ -184,10 +188,11 @@
 // readMessage reads a message. A server sends load reports at regular intervals on each connection, independently of its other
 // messages. If several reports are missing, the connection is silent although it is open, and errSilent is returned.
 func (c *platformConn) readMessage(r *Reader) (*Message, error) {
-	silence := c.maxSilence()
+	silence, deadline := c.maxSilence(), time.Time{}
 	if silence > 0 {
-		c.conn.SetReadDeadline(time.Now().Add(silence))
+		deadline = time.Now().Add(silence)
 	}
+	c.conn.SetReadDeadline(deadline)
 	m, err := r.Next()
 	if errors.Is(err, os.ErrDeadlineExceeded) { // the message may have been ready while this process got no CPU time
 		c.conn.SetReadDeadline(time.Now().Add(readGrace))
@@ -221,10 +226,14 @@
 }
 
 // maxSilence returns the longest time without a message on a working connection, or 0 while it is unknown. One interval is not
-// enough to know it: the first report arrives as soon as the connection is open, so the first interval is irregular.
+// enough to know it: the first report arrives as soon as the connection is open, so the first interval is irregular. A connection
+// that never carries a message was accepted by the machine for a process that hangs.
 func (c *platformConn) maxSilence() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lastMessage.IsZero() {
+		return announceTimeout
+	}
 	if len(c.reportGaps) < 2 {
 		return 0
 	}
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -37,6 +37,9 @@
 // MaxConns implements routing.Dialer. One connection is enough, because transactions tell the set-ups on it apart.
 func (a *Agent) MaxConns(string) int { return 1 }
 
+// Announces implements routing.Dialer. A SIP server sends nothing before it is asked.
+func (a *Agent) Announces(string) bool { return false }
+
 // Dial implements routing.Dialer. addr is a SIP URI such as sip:host:port;transport=udp.
 func (a *Agent) Dial(ctx context.Context, addr string, events routing.ServerEvents) (routing.ServerConn, error) {
 	u, err := parseURI(addr)
--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -131,6 +131,8 @@
 	list     *List
 	servers  map[string]*fakeServer
 	maxConns int // connections to each server; 0 counts as 1
+
+	announces bool // servers announce themselves; see Dialer.Announces
 }
 
 func (h *harness) Dial(ctx context.Context, addr string, e ServerEvents) (ServerConn, error) {
@@ -139,6 +141,8 @@
 
 func (h *harness) MaxConns(string) int { return max(1, h.maxConns) }
 
+func (h *harness) Announces(string) bool { return h.announces }
+
 func newHarness(serverNames ...string) *harness {
 	h := &harness{servers: map[string]*fakeServer{}}
 	h.core = NewCore(settings(), 1, nil, discardLogger())
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"beammux/control"
+	"beammux/control/liveness"
 	"beammux/internal/actor"
 	"beammux/internal/history"
 )
@@ -76,6 +77,9 @@
 	Dial(ctx context.Context, addr string, events ServerEvents) (ServerConn, error)
 	// MaxConns returns the largest useful number of concurrent connections to one server.
 	MaxConns(addr string) int
+	// Announces reports whether a server sends a message on each new connection before anything else. Only that message then
+	// proves that the server is alive; otherwise the connection itself does.
+	Announces(addr string) bool
 }
 
 const (
@@ -88,8 +92,9 @@
 	warnInterval = 10 * time.Second
 	// lateAnswerTime is how long an attempt that was given up is still tracked, because its answer may arrive late.
 	lateAnswerTime = 10 * time.Second
-	// unreachableAfter is how long a server may be without a connection before its calls are released. Calls established at a
-	// server that vanished must be released within 8 s.
+	// unreachableAfter is how long a server that announces nothing may be without a connection before its calls are released.
+	// Calls established at a server that vanished must be released within 8 s. Servers that announce themselves are followed by
+	// package liveness.
 	unreachableAfter = 4 * time.Second
 )
 
@@ -113,6 +118,8 @@
 	wasReset        bool             // a connection was reset since the last successful dial: the server process may have died
 	disconnectedAt  control.Micros   // since when no connection is open; 0 while one is, and once the server's calls were ended
 	warnedAt        control.Micros   // when a failed connect was last logged
+	liveness        liveness.Detector
+	ticking         bool // a liveness tick is scheduled
 	ctx             context.Context
 	stopDial        context.CancelFunc
 }
@@ -233,11 +240,9 @@
 	}
 	c.conn = conn
 	p.conns = append(p.conns, c)
-	p.redialWait, p.wasReset, p.disconnectedAt, p.warnedAt = minRedialWait, false, 0, 0
-	for _, r := range p.pendingReleases {
-		conn.Release(r.id, r.cause)
+	if c.received || !p.dialer.Announces(p.addr) {
+		p.proveAlive(c)
 	}
-	p.pendingReleases = nil
 	queued := p.queued
 	p.queued = nil
 	for _, a := range queued {
@@ -245,6 +250,17 @@
 	}
 }
 
+// proveAlive records that a connection has shown that the server is alive, and sends the releases that waited for one. On any
+// other connection they might never be read.
+func (p *Peer) proveAlive(c *peerConn) {
+	c.proven = true
+	p.redialWait, p.wasReset, p.disconnectedAt, p.warnedAt = minRedialWait, false, 0, 0
+	for _, r := range p.pendingReleases {
+		c.conn.Release(r.id, r.cause)
+	}
+	p.pendingReleases = nil
+}
+
 // dialFailed handles a connection that could not be opened.
 func (p *Peer) dialFailed(err error) {
 	now := p.core.clock.now()
@@ -263,14 +279,18 @@
 		p.wasReset, p.disconnectedAt = false, 0
 		p.core.Post(func() { p.core.serverLost(p, serverProcessDied) })
 	case p.disconnectedAt > 0 && span(now-p.disconnectedAt) >= unreachableAfter:
-		// The server's machine has failed or is partitioned, and sent no releases. No other process releases its calls. The
-		// releases are also queued for the server, in case it comes back.
 		p.disconnectedAt = 0
-		p.log.Warn("server unreachable: releasing its calls")
-		p.core.Post(func() { p.core.serverLost(p, serverUnreachable) })
+		p.unreachable()
 	}
 }
 
+// unreachable ends the calls of a server whose machine has failed or is partitioned, so that it sends no releases. No other
+// process releases its calls. The releases are also queued for the server, in case it comes back.
+func (p *Peer) unreachable() {
+	p.log.Warn("server unreachable: releasing its calls")
+	p.core.Post(func() { p.core.serverLost(p, serverUnreachable) })
+}
+
 // scheduleRedial dials again after redialWait, and doubles the wait for the next time.
 func (p *Peer) scheduleRedial() {
 	p.stopRedialTimer()
@@ -334,13 +354,13 @@
 	})
 }
 
-// release ends an established call at the server, on the connection with the fewest attempts in flight. Without a connection
-// the release is queued; for a server that was removed from the list it is dropped.
+// release ends an established call at the server, on the proven connection with the fewest attempts in flight. Without one the
+// release is queued; for a server that was removed from the list it is dropped.
 func (p *Peer) release(id string, cause int) {
 	p.Post(func() {
 		var best *peerConn
 		for _, c := range p.conns {
-			if best == nil || len(c.inFlight) < len(best.inFlight) {
+			if c.proven && (best == nil || len(c.inFlight) < len(best.inFlight)) {
 				best = c
 			}
 		}
@@ -381,7 +401,8 @@
 	peer     *Peer
 	conn     ServerConn
 	inFlight map[string]inFlightAttempt // by call id
-	received bool                       // an answer, a release or a load report has been received on it
+	received bool                       // a message has been received on it
+	proven   bool                       // it has shown that the server is alive; see Dialer.Announces
 	closed   bool
 }
 
@@ -430,10 +451,23 @@
 	})
 }
 
+// heard records that the server has sent a message.
+func (c *peerConn) heard() {
+	p := c.peer
+	c.received = true
+	if !c.proven && c.conn != nil { // otherwise connected, which follows, proves it
+		p.proveAlive(c)
+	}
+	if p.dialer.Announces(p.addr) {
+		p.liveness.Heard(p.core.clock.now())
+		p.scheduleTick()
+	}
+}
+
 // Answered implements ServerEvents.
 func (c *peerConn) Answered(a Attempt, body []byte) {
 	c.ifOpen(func(p *Peer) {
-		c.received = true
+		c.heard()
 		c.forget(a.attemptRef)
 		p.core.Post(func() { p.core.answered(p, a.attemptRef, body) })
 	})
@@ -442,6 +476,9 @@
 // Failed implements ServerEvents.
 func (c *peerConn) Failed(a Attempt, o Outcome) {
 	c.ifOpen(func(p *Peer) {
+		if o.Code != control.NotSent { // the server has answered
+			c.heard()
+		}
 		c.forget(a.attemptRef)
 		p.core.Post(func() { p.core.failed(a.attemptRef, o) })
 	})
@@ -450,7 +487,7 @@
 // Released implements ServerEvents.
 func (c *peerConn) Released(id string, cause int, report []float64) {
 	c.ifOpen(func(p *Peer) {
-		c.received = true
+		c.heard()
 		p.core.Post(func() { p.core.released(p, id, cause, report) })
 	})
 }
@@ -458,7 +495,7 @@
 // Report implements ServerEvents.
 func (c *peerConn) Report(report []float64) {
 	c.ifOpen(func(p *Peer) {
-		c.received = true
+		c.heard()
 		p.core.Post(func() { p.core.status(p, report) })
 	})
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -264,6 +264,8 @@
 
 func (s *multiConnServer) MaxConns(string) int { return 3 }
 
+func (s *multiConnServer) Announces(string) bool { return false }
+
 func (s *multiConnServer) Dial(ctx context.Context, addr string, e ServerEvents) (ServerConn, error) {
 	if s.dialError != nil {
 		return nil, s.dialError
