Send a release to a caller until it is confirmed, not to whoever connected last

Cause, class: a release that was written counted as delivered. It went on its call's connection as long as that looked open, also where the network behind it was cut, and was gone with it. Lines: Front.deliver, Front.addConn.

Change, at the owner of releases (jsonl.releaseDelivery, out of front.go): a release is sent until a caller confirms it by closed, for the 8 s of the protocol: after 400 ms on another connection, at once where its connection ends. Callers are known by a set-up; those of the call's address and those that have confirmed before come first; health checks are left out. If no client ever confirms, as the protocol allows, a release counts as delivered while its connection stays open.

--- a/cmd/beammux/standing_calls_test.go
+++ b/cmd/beammux/standing_calls_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -101,6 +103,17 @@
 	}
 }
 
+// release ends a call, on the connection of its set-up.
+func (s *menuServer) release(t *testing.T, id string) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bye := sip.Request("BYE", "sip:peer@net").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", id).Set("CSeq", "2 BYE").
+		Set("Reason", "Q.850;cause=16")
+	_, err := s.callConn[id].Write(bye.Append(nil))
+	require.NoError(t, err)
+}
+
 // heardRelease reports whether the gatekeeper has released a call here.
 func (s *menuServer) heardRelease(id string) bool {
 	s.mu.Lock()
@@ -137,10 +150,17 @@
 	return c
 }
 
+// open sends a set-up.
+func (c *caller) open(t *testing.T, id string) {
+	t.Helper()
+	_, err := fmt.Fprintf(c.conn, `{"msg":"open","sid":%q,"attrs":{"class":"menu-view","left":5000,"key":"1"},"text":"offer"}`+"\n", id)
+	require.NoError(t, err)
+}
+
 // establish sets up a call and waits for its answer.
 func (c *caller) establish(t *testing.T, id string) {
 	t.Helper()
-	fmt.Fprintf(c.conn, `{"msg":"open","sid":%q,"attrs":{"class":"menu-view","left":5000,"key":"1"},"text":"offer"}`+"\n", id)
+	c.open(t, id)
 	m := c.next(t, 5*time.Second)
 	require.Equal(t, "ready", m.Type, "the answer to the set-up: %v", m)
 	require.Equal(t, id, m.ID)
@@ -302,3 +322,62 @@
 		})
 	}
 }
+
+// Guards against a release that goes to a connection that is none of a caller's: a health check, or a client that sends
+// nothing, is connected last when the connection of the call has ended.
+func TestReleaseReachesACallerAndNoOtherClient(t *testing.T) {
+	s := startStandingCalls(t, 500*time.Millisecond)
+	first, second := dialCaller(t, s.addr), dialCaller(t, s.addr)
+	ids := callIDs(2)
+	second.establish(t, ids[1])
+	first.establish(t, ids[0])
+	first.conn.Close()
+	silent, err := net.Dial("tcp", s.addr)
+	require.NoError(t, err)
+	defer silent.Close()
+	check, err := net.Dial("tcp", s.addr)
+	require.NoError(t, err)
+	defer check.Close()
+	io.WriteString(check, `{"msg":"probe","sid":"00000000000000ff","attrs":{},"code":0}`+"\n")
+	line, err := bufio.NewReader(check).ReadString('\n')
+	require.NoError(t, err)
+	require.True(t, strings.Contains(line, "probed"), line)
+	time.Sleep(50 * time.Millisecond) // until the end of the first connection is read
+	s.server.release(t, ids[0])
+	second.requireReleased(t, releaseLimit, ids[0])
+}
+
+// Guards against a release that waits for a connection and is taken by a health check, which comes first.
+func TestWaitingReleaseIsNotTakenByAHealthCheck(t *testing.T) {
+	s := startStandingCalls(t, 500*time.Millisecond)
+	first := dialCaller(t, s.addr)
+	ids := callIDs(2)
+	first.establish(t, ids[0])
+	first.conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	s.server.release(t, ids[0])
+	time.Sleep(50 * time.Millisecond)
+	check, err := net.Dial("tcp", s.addr)
+	require.NoError(t, err)
+	io.WriteString(check, `{"msg":"probe","sid":"00000000000000ff","attrs":{},"code":0}`+"\n")
+	_, err = bufio.NewReader(check).ReadString('\n')
+	require.NoError(t, err)
+	check.Close()
+	second := dialCaller(t, s.addr)
+	second.open(t, ids[1])
+	second.requireReleased(t, releaseLimit, ids[0])
+}
+
+// Guards against a release that is written on a connection which never delivers it: the network between the caller and the
+// gatekeeper is cut, then the connection is reset.
+func TestReleaseIsSentAgainWhereItWasNotConfirmed(t *testing.T) {
+	s := startStandingCalls(t, 500*time.Millisecond)
+	first := dialCaller(t, s.addr)
+	ids := callIDs(2)
+	first.establish(t, ids[0])
+	second := dialCaller(t, s.direct)
+	second.establish(t, ids[1])
+	s.network.Cut([]string{gatekeeperName}, []string{clientsName}, true)
+	s.server.release(t, ids[0])
+	second.requireReleased(t, endLimit, ids[0])
+}
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -22,12 +22,10 @@
 
 // Cause codes and bounds.
 const (
-	causeInvalid       = 100              // cause code of a set-up with invalid fields
-	causeNormal        = 16               // cause code of a call that the gatekeeper releases: normal clearing
-	releaseTimeout     = 8 * time.Second  // time that a release waits for a connection if there is none
-	maxPendingReleases = 4096             // releases that may wait for a connection
-	maxTimeLeft        = 10 * time.Minute // maximum of a set-up's attribute left
-	maxOpenSetups      = 512              // unanswered set-ups of one connection; further ones are marked as excess, and refused
+	causeInvalid  = 100              // cause code of a set-up with invalid fields
+	causeNormal   = 16               // cause code of a call that the gatekeeper releases: normal clearing
+	maxTimeLeft   = 10 * time.Minute // maximum of a set-up's attribute left
+	maxOpenSetups = 512              // unanswered set-ups of one connection; further ones are marked as excess, and refused
 )
 
 // Time-outs of a connection. They keep silent and finished callers from holding descriptors forever.
@@ -65,27 +63,19 @@
 	core     Core
 	classes  map[string]int
 	log      logrus.FieldLogger
-	endings  *loglimit.Limiter // log of releases that could not be sent on the connection of their call
+	releases *releaseDelivery
 	draining atomic.Bool
 	closing  atomic.Bool
 
 	mu          sync.Mutex
 	conns       []*conn          // open connections, oldest first
 	established map[string]*conn // connections of the established calls, by call
-	pending     []pendingRelease // releases that wait for a connection
-}
-
-// pendingRelease is a release that waits for a connection until an expiry time.
-type pendingRelease struct {
-	id      string
-	data    []byte
-	expires time.Time
 }
 
 // NewFront returns a front. classes are the names of the classes in the order of the settings.
 func NewFront(core Core, classes []string, log logrus.FieldLogger) *Front {
 	f := &Front{core: core, classes: map[string]int{}, established: map[string]*conn{}, log: log,
-		endings: loglimit.New(log)}
+		releases: newReleaseDelivery(loglimit.New(log))}
 	for i, name := range classes {
 		f.classes[name] = i
 	}
@@ -116,7 +106,7 @@
 		case drain.ReleaseCalls:
 			for _, id := range f.takeCalls(c) {
 				f.core.Hangup(id, causeNormal, nil, func(bool) {})
-				c.send(Message{Type: "close", ID: id, Code: causeNormal})
+				f.releases.deliver(Message{Type: "close", ID: id, Code: causeNormal}, c)
 			}
 			c.FinishIdle()
 		}
@@ -144,6 +134,8 @@
 	open       map[string]*caller
 	setupEnded chan struct{} // signalled when a set-up ends
 	excess     bool          // new set-ups are excess; only for the reading goroutine
+	kind       peerKind      // guarded by releaseDelivery
+	confirms   bool          // a release was confirmed on it; guarded by releaseDelivery
 }
 
 // send queues a message and reports whether that succeeded.
@@ -313,18 +305,12 @@
 	}
 }
 
-// addConn adds a connection and sends the waiting releases on it.
+// addConn adds a connection.
 func (f *Front) addConn(c *conn) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.conns = append(f.conns, c)
-	pending := f.pending
-	f.pending = nil
-	f.mu.Unlock()
-	for _, release := range pending {
-		if time.Now().Before(release.expires) {
-			f.deliver(c, release)
-		}
-	}
+	f.releases.addConn(c)
 }
 
 // removeConn removes a connection that ended and withdraws its set-ups, whose answers can't be delivered.
@@ -345,6 +331,7 @@
 		c.Unhold()
 		f.core.Withdraw(id, setup, nil)
 	}
+	f.releases.removeConn(c)
 }
 
 // addCall records an established call, which keeps its connection open.
@@ -365,36 +352,6 @@
 	}
 }
 
-// deliver sends a release on a connection if it is open, else on the newest open one, else on the next one that opens. If the
-// connection ends before the release is written, it is delivered again in the same way.
-func (f *Front) deliver(c *conn, release pendingRelease) {
-	send := func(c *conn) bool {
-		return !c.PeerClosed() && c.Send(transport.Packet{Data: release.data, Done: func(err error) {
-			if err != nil {
-				f.deliver(nil, release)
-			}
-		}}) == nil
-	}
-	if c != nil && send(c) {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := len(f.conns) - 1; i >= 0; i-- {
-		if send(f.conns[i]) {
-			f.endings.Info("release sent on another connection than its call's",
-				logrus.Fields{"call": release.id, "caller": f.conns[i].RemoteAddr()})
-			return
-		}
-	}
-	f.endings.Info("release waits for a connection of a caller", logrus.Fields{"call": release.id})
-	now := time.Now()
-	f.pending = slices.DeleteFunc(f.pending, func(release pendingRelease) bool { return now.After(release.expires) })
-	if now.Before(release.expires) {
-		f.pending = append(f.pending[max(0, len(f.pending)+1-maxPendingReleases):], release)
-	}
-}
-
 // handle handles one message. An error ends the connection.
 func (f *Front) handle(c *conn, m *Message) error {
 	switch m.Type {
@@ -408,14 +365,18 @@
 			openCaller = setup
 		}
 		f.removeCall(m.ID)
+		f.releases.stop(m.ID)
 		f.core.Hangup(m.ID, m.Code, openCaller, func(bool) { c.send(Message{Type: "closed", ID: m.ID}) })
 	case "probe":
 		passed := 1
 		if f.draining.Load() {
 			passed = 0
 		}
+		f.releases.noteKind(c, healthCheck)
 		c.send(Message{Type: "probed", ID: m.ID, Code: passed})
-	case "closed", "trying": // valid and ignored
+	case "closed":
+		f.releases.confirm(m.ID, c)
+	case "trying": // valid and ignored
 	default:
 		return ErrMalformed
 	}
@@ -451,6 +412,7 @@
 	if !c.addSetup(newCaller) {
 		return errClosing
 	}
+	f.releases.noteKind(c, callerPeer)
 	setup.Excess = c.excess || f.closing.Load()
 	f.core.Open(setup, newCaller)
 	return nil
@@ -498,8 +460,7 @@
 
 // Orphan sends the release of a call that was established before this process started.
 func (f *Front) Orphan(id string, cause int) {
-	m := Message{Type: "close", ID: id, Code: cause}
-	f.deliver(nil, pendingRelease{id, m.Append(nil), time.Now().Add(releaseTimeout)})
+	f.releases.deliver(Message{Type: "close", ID: id, Code: cause}, nil)
 }
 
 // caller implements routing.Caller for one call.
@@ -549,6 +510,5 @@
 // Release implements routing.Caller: it reports the end of an established call.
 func (c *caller) Release(cause int) {
 	c.front.removeCall(c.id)
-	m := Message{Type: "close", ID: c.id, Code: cause}
-	c.front.deliver(c.conn, pendingRelease{c.id, m.Append(nil), time.Now().Add(releaseTimeout)})
+	c.front.releases.deliver(Message{Type: "close", ID: c.id, Code: cause}, c.conn)
 }
--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -330,7 +330,7 @@
 	for i := range maxPendingReleases + 9 {
 		b.front.Orphan(fmt.Sprintf("%016x", i), 16)
 	}
-	if n := len(b.front.pending); n != maxPendingReleases {
+	if n := len(b.front.releases.pending); n != maxPendingReleases {
 		t.Errorf("%d releases wait, want at most %d", n, maxPendingReleases)
 	}
 }
--- /dev/null
+++ b/internal/protocol/jsonl/release.go
@@ -0,0 +1,253 @@
+package jsonl
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/internal/loglimit"
+	"beammux/internal/transport"
+)
+
+// Bounds of the delivery of releases.
+const (
+	releaseTimeout     = 8 * time.Second        // from the end of a call, for its release to reach its caller
+	maxPendingReleases = 4096                   // releases that are not confirmed
+	minConfirmWait     = 400 * time.Millisecond // for a confirmation, before a release is sent again; it doubles each time
+	sweepInterval      = 100 * time.Millisecond // between looks at the releases that are not confirmed
+	enoughUnconfirmed  = 8                      // releases that expire without any confirmation, until none is expected any more
+)
+
+// release is the release of an established call on its way to a caller.
+type release struct {
+	id        string
+	data      []byte
+	address   string // of the caller that set up the call; empty if it is not known
+	expires   time.Time
+	conn      *conn   // where it was sent last; nil while it waits for a connection
+	tried     []*conn // where it was sent
+	waiting   bool    // there was no connection to send it on
+	resendAt  time.Time
+	wait      time.Duration
+	confirmed bool
+}
+
+// peerKind is what a connection has shown its client to be.
+type peerKind int
+
+// The kinds of clients.
+const (
+	unknownPeer peerKind = iota
+	healthCheck          // it has sent a probe, and no set-up
+	callerPeer           // it has sent a set-up
+)
+
+// releaseDelivery sends releases to callers until they are confirmed. No connection owns an established call: its release goes on the
+// connection of its set-up, or else on that of another caller. A release that is written has not arrived: its connection may have
+// ended, or lead to a client that reads nothing. Callers confirm releases by the message "closed". The protocol leaves them free to
+// do so: if none ever does, a release that is written and whose connection stays open counts as confirmed.
+type releaseDelivery struct {
+	log *loglimit.Limiter
+
+	mu       sync.Mutex
+	conns    []*conn             // open connections, oldest first
+	pending  []*release          // not confirmed, by the end of the call; confirmed ones are removed later
+	byID     map[string]*release // those of pending that are not confirmed
+	confirms bool                // a caller has confirmed a release
+	expired  int                 // releases that were sent and not confirmed in time
+	sweeping bool                // the next look at pending is scheduled
+}
+
+func newReleaseDelivery(log *loglimit.Limiter) *releaseDelivery {
+	return &releaseDelivery{log: log, byID: map[string]*release{}}
+}
+
+// addConn adds an open connection. Releases that wait for one are sent on it once it has shown that it is a caller's, or, while
+// no caller is connected, with the next look at them.
+func (d *releaseDelivery) addConn(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns = append(d.conns, c)
+}
+
+// noteKind records what a connection has shown its client to be. To a caller the releases are sent that wait for a connection or
+// were sent to clients that are not known to be callers.
+func (d *releaseDelivery) noteKind(c *conn, kind peerKind) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.kind >= kind {
+		return
+	}
+	c.kind = kind
+	if kind != callerPeer {
+		return
+	}
+	for _, r := range d.pending {
+		if !r.confirmed && (r.conn == nil || r.conn.kind != callerPeer) {
+			d.send(r, c)
+		}
+	}
+}
+
+// removeConn removes a connection that has ended, and sends the releases that were sent on it and not confirmed again.
+func (d *releaseDelivery) removeConn(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns = slices.DeleteFunc(d.conns, func(o *conn) bool { return o == c })
+	for _, r := range d.pending {
+		if r.conn == c && !r.confirmed {
+			d.sendAgain(r)
+		}
+	}
+}
+
+// deliver sends the release of a call: on the connection of its set-up, if that is known and open, else on that of another caller.
+func (d *releaseDelivery) deliver(m Message, setupConn *conn) {
+	r := &release{id: m.ID, data: m.Append(nil), expires: time.Now().Add(releaseTimeout), wait: minConfirmWait}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pending = append(d.pending, r)
+	d.byID[r.id] = r
+	if surplus := len(d.pending) - maxPendingReleases; surplus > 0 {
+		d.prune()
+		for len(d.pending) > maxPendingReleases {
+			d.forget(d.pending[0])
+			d.prune()
+		}
+	}
+	if setupConn != nil {
+		r.address = transport.AddressOf(setupConn.RemoteAddr())
+	}
+	if setupConn == nil || !d.send(r, setupConn) {
+		d.sendAgain(r)
+	}
+	d.scheduleSweep()
+}
+
+// confirm records that a caller has read the release of a call.
+func (d *releaseDelivery) confirm(id string, c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.byID[id]; r != nil {
+		d.confirms, c.confirms = true, true
+		d.forget(r)
+	}
+}
+
+// stop ends the delivery of the release of a call that its caller has ended.
+func (d *releaseDelivery) stop(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.byID[id]; r != nil {
+		d.forget(r)
+	}
+}
+
+// forget ends the delivery of a release.
+func (d *releaseDelivery) forget(r *release) {
+	r.confirmed = true
+	if d.byID[r.id] == r {
+		delete(d.byID, r.id)
+	}
+}
+
+// send sends a release on a connection, unless that has ended. If the connection ends before the release is written, removeCaller
+// sends it again.
+func (d *releaseDelivery) send(r *release, c *conn) bool {
+	if c.PeerClosed() || c.Send(transport.Packet{Data: r.data}) != nil {
+		return false
+	}
+	r.conn, r.tried, r.resendAt = c, append(r.tried, c), time.Now().Add(r.wait)
+	r.wait *= 2
+	return true
+}
+
+// sendAgain sends a release on the connection on which it most likely arrives. Without any, it waits for the next.
+func (d *releaseDelivery) sendAgain(r *release) {
+	waited := r.conn == nil && r.waiting
+	r.conn = nil
+	candidates := slices.DeleteFunc(slices.Clone(d.conns), func(c *conn) bool { return c.kind == healthCheck })
+	slices.Reverse(candidates) // the newest first, among equals
+	slices.SortStableFunc(candidates, func(a, b *conn) int { return r.rank(b) - r.rank(a) })
+	for _, c := range candidates {
+		if d.send(r, c) {
+			d.log.Info("release sent on another connection than its call's", logrus.Fields{"call": r.id, "caller": c.RemoteAddr(),
+				"sent": len(r.tried)})
+			return
+		}
+	}
+	r.waiting = true
+	if !waited {
+		d.log.Info("release waits for a connection of a caller", logrus.Fields{"call": r.id})
+	}
+}
+
+// Ranks of a connection for a release. The sum counts; each is more than those below it together.
+const (
+	rankConfirms    = 1 << iota // it has confirmed releases before
+	rankSameAddress             // it comes from the address of the call's set-up
+	rankUntried                 // the release was not sent on it yet
+	rankCaller                  // it is a caller's
+)
+
+// rank returns how likely a release arrives on a connection; the highest is the best.
+func (r *release) rank(c *conn) (rank int) {
+	if c.confirms {
+		rank += rankConfirms
+	}
+	if r.address != "" && transport.AddressOf(c.RemoteAddr()) == r.address {
+		rank += rankSameAddress
+	}
+	if !slices.Contains(r.tried, c) {
+		rank += rankUntried
+	}
+	if c.kind == callerPeer {
+		rank += rankCaller
+	}
+	return rank
+}
+
+// scheduleSweep schedules the next look at the pending releases, if there are any.
+func (d *releaseDelivery) scheduleSweep() {
+	if d.sweeping || len(d.pending) == 0 {
+		return
+	}
+	d.sweeping = true
+	time.AfterFunc(sweepInterval, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.sweeping = false
+		d.sweep(time.Now())
+		d.scheduleSweep()
+	})
+}
+
+// sweep sends releases again that were not confirmed in time, and gives up those that have expired.
+func (d *releaseDelivery) sweep(now time.Time) {
+	for _, r := range d.pending {
+		switch {
+		case r.confirmed:
+		case now.After(r.expires):
+			d.log.Warn("release not confirmed by any caller", logrus.Fields{"call": r.id, "sent": len(r.tried)})
+			d.forget(r)
+			if r.conn != nil {
+				d.expired++
+			}
+		case r.conn == nil:
+			d.sendAgain(r)
+		case now.Before(r.resendAt):
+		case d.confirms || d.expired < enoughUnconfirmed || r.conn.kind != callerPeer:
+			d.sendAgain(r)
+		default:
+			d.forget(r)
+		}
+	}
+	d.prune()
+}
+
+// prune removes the confirmed releases from pending.
+func (d *releaseDelivery) prune() {
+	d.pending = slices.DeleteFunc(d.pending, func(r *release) bool { return r.confirmed })
+}
