Ignore the end of a call from a server at which it does not stand

Callers lost a call that stood: a server whose answer to an earlier attempt had been lost (reset, cut) ended what it held, and the gatekeeper took that for the end of the call, which a later attempt had established at another server. That server was not told and kept its lines.

Cause: Core.released looked a release up by the call's id alone. Change: it must come from the server of the attempt that stands.

Measured: TestReleaseByAnEarlierAttemptsServer fails without the change (the caller is released once too early).

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -169,10 +169,11 @@
 		Elapsed: c.clock.now() - a.sentAt, Reason: o.Reason, RetryAfter: o.RetryAfter, Report: o.Report})
 }
 
-// released handles the release of an established call by its server. A repeated release is passed on once.
+// released handles the release of an established call by its server. A repeated release is passed on once. A server that holds
+// the call because its answer to an earlier attempt was lost releases only that attempt.
 func (c *Core) released(p *Peer, id string, cause int, report []float64) {
 	call := c.calls[id]
-	if call == nil || !call.established {
+	if call == nil || !call.established || call.current.peer != p {
 		if report != nil {
 			c.noteReport(p.server, report)
 			c.handle(control.Status{Server: p.server, Code: control.OK, Report: report})
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -39,3 +39,29 @@
 		})
 	}
 }
+
+// Guards against the end of a call by a server at which it does not stand: the server's answer to an earlier attempt was lost, the
+// call was established elsewhere, and then the first server ends what it holds.
+func TestReleaseByAnEarlierAttemptsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a", "b")
+		defer h.stop()
+		caller := h.call("1", 3*time.Second)
+		first, second := h.servers["a"], h.servers["b"]
+		if len(first.inFlight) == 0 {
+			first, second = second, first
+		}
+		first.reset()
+		h.sleep(time.Second)
+		require.Contains(t, second.inFlight, "1", "the second attempt")
+		second.answer("1", "body")
+		synctest.Wait()
+		require.True(t, caller.established)
+		first.events.Released("1", CauseNormal, nil)
+		synctest.Wait()
+		require.Zero(t, caller.releases, "the call stands at the second server")
+		second.events.Released("1", CauseNormal, nil)
+		synctest.Wait()
+		require.Equal(t, 1, caller.releases)
+	})
+}
