Release a call whose answer arrives on a connection that was just given up

At a menu server a call stood for nobody: its answer was read, and confirmed by ACK, while the peer had already given up the connection and reported the attempt as cut. The event was dropped, the caller got another answer, and the server was never told.

Cause: peerConn.ifOpen drops every event of a connection that the peer has removed, also the one that tells of a call which now stands. Change: such an answer is handled as a late one: released at the server, unless another attempt of the call is there.

Measured: TestAnswerOnAConnectionThatWasGivenUp fails without the change.

--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -466,7 +466,12 @@
 
 // Answered implements ServerEvents.
 func (c *peerConn) Answered(a Attempt, body []byte) {
-	c.ifOpen(func(p *Peer) {
+	p := c.peer
+	p.Post(func() {
+		if c.closed { // the attempt was reported as cut, but the server holds the call
+			p.core.Post(func() { p.core.lateAnswer(p, a.attemptRef) })
+			return
+		}
 		c.heard()
 		c.forget(a.attemptRef)
 		p.core.Post(func() { p.core.answered(p, a.attemptRef, body) })
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -65,3 +65,25 @@
 		require.Equal(t, 1, caller.releases)
 	})
 }
+
+// Guards against a call that stands at a server for nobody: its answer arrives just as its connection is given up, and the caller
+// has another final answer.
+func TestAnswerOnAConnectionThatWasGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a")
+		defer h.stop()
+		caller := h.call("1", 3*time.Second)
+		server := h.servers["a"]
+		events, attempt := server.events, server.inFlight["1"]
+		server.reset()
+		events.Answered(attempt, []byte("body"))
+		server.dialError = syscall.ECONNRESET // the call can't be tried again
+		h.sleep(4 * time.Second)
+		require.Equal(t, 1, caller.finalAnswers)
+		server.dialError = nil
+		h.sleep(2 * time.Second)
+		if !caller.established {
+			require.Equal(t, 1, server.releasesReceived["1"], "the server holds a call that nobody releases")
+		}
+	})
+}
