Send a release to a server again where its connection ended before it was confirmed

Lines: platformConn.Release wrote and forgot.

Change: a BYE without a response when its connection ends (10 s back at most; responses are free, and a server that sends none is not asked forever) is reported as lost and sent again on the next proven connection, unless a further attempt of the call is there by now. A release that waits goes out before a further attempt of its call, which it would end otherwise.

Measured: TestUnconfirmedReleaseIsReported and TestLostReleaseIsSentAgain; neither the event nor the second release exists without the change. TestPlatformCallAnsweredAndReleased now expects the lost release too: its server closes without confirming one.

--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -49,7 +50,7 @@
 }
 
 func (d *PlatformDialer) newConn(conn *transport.Conn, events routing.ServerEvents) *platformConn {
-	c := &platformConn{dialer: d, conn: conn, events: events, inFlight: map[string]platformSetup{}}
+	c := &platformConn{dialer: d, conn: conn, events: events, inFlight: map[string]platformSetup{}, releases: map[string]sentRelease{}}
 	go c.read()
 	return c
 }
@@ -60,6 +61,7 @@
 	conn        *transport.Conn
 	events      routing.ServerEvents
 	mu          sync.Mutex               // guards the fields below
+	releases    map[string]sentRelease   // BYEs without a response, by Call-ID; nil once the connection has ended
 	inFlight    map[string]platformSetup // set-ups without a final response, by Call-ID
 	lastMessage time.Time                // when the last message arrived
 	lastReport  time.Time                // when the last NOTIFY arrived
@@ -73,6 +75,12 @@
 	cancelled bool
 }
 
+// sentRelease is a BYE that was sent on a platformConn.
+type sentRelease struct {
+	cause int
+	at    time.Time
+}
+
 // Thresholds for detecting a silent connection: it is open, but nothing arrives on it any more. Its set-ups are lost, and so
 // are the releases of established calls.
 const (
@@ -81,6 +89,9 @@
 	minSilence          = time.Second            // a shorter silence is normal
 	silenceGaps         = 2.5                    // longest silence, as a multiple of the longest recent report interval
 	maxGaps             = 4                      // number of recent report intervals that are kept
+
+	maxUnconfirmedReleases = 1024             // releases of one connection that wait for their response
+	releaseConfirmTime     = 10 * time.Second // in which a server that confirms releases has done so
 )
 
 // errSilent is the error of a silent connection; see maxSilence.
@@ -149,8 +160,12 @@
 	}
 }
 
-// Release implements routing.ServerConn.
+// Release implements routing.ServerConn. A release without a response when the connection ends is reported as lost.
 func (c *platformConn) Release(id string, cause int) {
+	if !c.trackRelease(id, cause) {
+		c.events.ReleaseLost(id, cause)
+		return
+	}
 	m := platformRequest("BYE", id, "", "BYE")
 	m.Set("CSeq", "2 BYE").Set("Reason", fmt.Sprintf("Q.850;cause=%d", cause))
 	c.writeMessage(m)
@@ -174,6 +189,7 @@
 				c.dialer.Log.WithField("address", c.conn.RemoteAddr()).WithError(err).Debug("connection to server failed")
 			}
 			c.conn.Close()
+			c.reportLostReleases()
 			c.events.Down(err)
 			return
 		}
@@ -185,6 +201,36 @@
 	}
 }
 
+// trackRelease records a BYE, and reports false if the connection has ended.
+func (c *platformConn) trackRelease(id string, cause int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.releases == nil {
+		return false
+	}
+	if len(c.releases) >= maxUnconfirmedReleases { // the server confirms none
+		maps.DeleteFunc(c.releases, func(_ string, r sentRelease) bool { return time.Since(r.at) > releaseConfirmTime })
+	}
+	if len(c.releases) < maxUnconfirmedReleases {
+		c.releases[id] = sentRelease{cause, time.Now()}
+	}
+	return true
+}
+
+// reportLostReleases reports the releases that the server has not confirmed when the connection ends. Older ones were read by a
+// server that confirms none, which the protocol allows.
+func (c *platformConn) reportLostReleases() {
+	c.mu.Lock()
+	lost := c.releases
+	c.releases = nil
+	c.mu.Unlock()
+	for id, r := range lost {
+		if time.Since(r.at) <= releaseConfirmTime {
+			c.events.ReleaseLost(id, r.cause)
+		}
+	}
+}
+
 // readMessage reads a message. A server sends load reports at regular intervals on each connection, independently of its other
 // messages. If several reports are missing, the connection is silent although it is open, and errSilent is returned.
 func (c *platformConn) readMessage(r *Reader) (*Message, error) {
@@ -262,7 +308,13 @@
 // handleResponse handles the final response to a set-up and confirms it.
 func (c *platformConn) handleResponse(m *Message) {
 	id := m.Get("Call-ID")
-	if _, method, _ := m.CSeq(); method != "INVITE" || m.Status < 200 {
+	_, method, _ := m.CSeq()
+	if method == "BYE" && m.Status >= 200 {
+		c.mu.Lock()
+		delete(c.releases, id)
+		c.mu.Unlock()
+	}
+	if method != "INVITE" || m.Status < 200 {
 		return
 	}
 	c.mu.Lock()
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -26,6 +26,11 @@
 	outcome routing.Outcome
 }
 
+type lostReleaseEvent struct {
+	id    string
+	cause int
+}
+
 type releasedEvent struct {
 	id     string
 	cause  int
@@ -41,8 +46,9 @@
 func (t *eventRecorder) Released(id string, cause int, report []float64) {
 	t.events <- releasedEvent{id, cause, report}
 }
-func (t *eventRecorder) Report(r []float64) { t.events <- r }
-func (t *eventRecorder) Down(err error)     { t.events <- errors.Is(err, io.EOF) }
+func (t *eventRecorder) Report(r []float64)               { t.events <- r }
+func (t *eventRecorder) ReleaseLost(id string, cause int) { t.events <- lostReleaseEvent{id, cause} }
+func (t *eventRecorder) Down(err error)                   { t.events <- errors.Is(err, io.EOF) }
 
 type platformFixture struct {
 	t             *testing.T
@@ -156,6 +162,7 @@
 		t.Errorf("%+v", m)
 	}
 	b.serverSide.Close()
+	b.event(lostReleaseEvent{"78", 16}) // the server has not confirmed it
 	b.event(true)
 }
 
@@ -409,3 +416,20 @@
 		}
 	}
 }
+
+// Guards against a call left standing at a server that has not read its release: the connection ends after it was written. A
+// confirmed one is not reported.
+func TestUnconfirmedReleaseIsReported(t *testing.T) {
+	b := newPlatformFixture(t)
+	const confirmed, unread = "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"
+	b.client.Release(confirmed, 16)
+	bye := b.next("BYE")
+	b.serverSide.Write(Respond(bye, 200, "OK").Append(nil))
+	b.client.Release(unread, 41)
+	b.next("BYE")
+	b.serverSide.Close()
+	b.event(lostReleaseEvent{unread, 41})
+	b.event(true)
+	b.client.Release(unread, 41)
+	b.event(lostReleaseEvent{unread, 41})
+}
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -131,6 +131,14 @@
 	}
 }
 
+// releaseAgain sends the release of a call again, which its server may not have read. It does not where another attempt of the call is
+// in flight or established there by now: servers identify a call by its id alone.
+func (c *Core) releaseAgain(p *Peer, id string, cause int) {
+	if call := c.calls[id]; call == nil || call.current == nil || call.current.peer != p {
+		p.release(id, cause)
+	}
+}
+
 // releaseLateAnswer releases the call at a server that answered a given-up attempt late. It is called once no attempt of
 // the call is in flight at that server.
 func (call *callState) releaseLateAnswer(p *Peer) {
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -69,6 +69,7 @@
 	Failed(a Attempt, o Outcome)                     // the attempt ended without an established call
 	Released(id string, cause int, report []float64) // the server ended an established call
 	Report(report []float64)                         // the server sent a load report without a request
+	ReleaseLost(id string, cause int)                // the connection ended before the server confirmed the release of a call
 	Down(err error)                                  // the connection is closed
 }
 
@@ -324,6 +325,7 @@
 		if len(best.inFlight) > 0 && p.redialTimer == nil {
 			p.connect() // every connection that this call can use has attempts in flight: open one more for the next attempt
 		}
+		p.releaseEarlierAttempt(best, a.id)
 		best.send(a)
 	case len(p.conns) > 0 && len(p.conns) >= p.dialer.MaxConns(p.addr):
 		p.fail(a, control.NotSent)
@@ -333,6 +335,18 @@
 	}
 }
 
+// releaseEarlierAttempt sends a release that waits for a call, before a further attempt of that call: after it, the release would
+// end that attempt.
+func (p *Peer) releaseEarlierAttempt(c *peerConn, id string) {
+	for i, r := range p.pendingReleases {
+		if r.id == id {
+			p.pendingReleases = slices.Delete(p.pendingReleases, i, i+1)
+			c.conn.Release(r.id, r.cause)
+			return
+		}
+	}
+}
+
 // cancel gives up an attempt. The core has already ended it, so its end is not reported.
 func (p *Peer) cancel(r attemptRef) {
 	p.Post(func() {
@@ -505,6 +519,12 @@
 	})
 }
 
+// ReleaseLost implements ServerEvents.
+func (c *peerConn) ReleaseLost(id string, cause int) {
+	p := c.peer
+	p.Post(func() { p.core.Post(func() { p.core.releaseAgain(p, id, cause) }) })
+}
+
 // Down implements ServerEvents.
 func (c *peerConn) Down(err error) {
 	c.ifOpen(func(p *Peer) {
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -87,3 +87,28 @@
 		}
 	})
 }
+
+// Guards against a call left standing at a server: its release is lost with the connection, and must be sent on the next. A later
+// attempt of the same call there must not be ended by it.
+func TestLostReleaseIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a")
+		defer h.stop()
+		caller := h.call("1", 3*time.Second)
+		server := h.servers["a"]
+		server.answer("1", "body")
+		synctest.Wait()
+		require.True(t, caller.established)
+		server.events.ReleaseLost("1", CauseNormal)
+		synctest.Wait()
+		require.Zero(t, server.releasesReceived["1"], "the call stands")
+		h.core.Hangup("1", CauseNormal, nil, nil)
+		synctest.Wait()
+		require.Equal(t, 1, server.releasesReceived["1"])
+		events := server.events
+		server.reset()
+		events.ReleaseLost("1", CauseNormal)
+		h.sleep(time.Second)
+		require.Equal(t, 2, server.releasesReceived["1"])
+	})
+}
