Release a set-up at its server where the answer may have been lost with the connection

At a menu server a call stood for nobody: a connection broke under a set-up, or was given up as silent, while its answer was on the way. The gatekeeper took the attempt for cut and went on elsewhere; the server held the call to its natural end, or, where it vanished meanwhile, for ever. A client's set-ups that are open on a connection are given up with it, but one that was answered is not.

Cause: Peer.removeConn reported the attempts and told the server nothing. Change: each set-up that was sent, also one that was cancelled, is released on the next proven connection, before any further attempt of its call there. A release that already waits is not added twice.

TestSetupCutWithItsConnectionIsReleased fails without the change (0 releases).

--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -380,7 +380,7 @@
 		}
 		if best != nil {
 			best.conn.Release(id, cause)
-		} else if !p.gone() {
+		} else if !p.gone() && !p.releaseWaits(id) {
 			p.core.endings.Info("release waits for a connection to the server", logrus.Fields{"call": id, "server": p.server})
 			p.pendingReleases = append(p.pendingReleases, pendingRelease{id, cause})
 			p.connect()
@@ -388,16 +388,25 @@
 	})
 }
 
+// releaseWaits reports whether the release of a call waits for a connection.
+func (p *Peer) releaseWaits(id string) bool {
+	return slices.ContainsFunc(p.pendingReleases, func(r pendingRelease) bool { return r.id == id })
+}
+
 // fail reports the end of an attempt to the core.
 func (p *Peer) fail(a Attempt, code control.Code) {
 	p.core.Post(func() { p.core.failed(a.attemptRef, Outcome{Code: code}) })
 }
 
-// removeConn removes a connection and fails the set-ups in flight on it. Established calls are not tied to a connection.
+// removeConn removes a connection and fails the set-ups in flight on it. Established calls are not tied to a connection. The answer
+// to a set-up that was sent may have been lost with the connection: the server may hold the call, and is sent its release.
 func (p *Peer) removeConn(c *peerConn) {
 	c.closed = true
 	p.conns = slices.DeleteFunc(p.conns, func(o *peerConn) bool { return o == c })
 	for _, o := range c.inFlight {
+		if o.sent {
+			defer func() { p.core.Post(func() { p.core.releaseAgain(p, o.id, CauseNormal) }) }()
+		}
 		if o.cancelled {
 			continue
 		}
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -112,3 +112,33 @@
 		require.Equal(t, 2, server.releasesReceived["1"])
 	})
 }
+
+// Guards against a call left standing at a server whose answer was lost: the connection breaks under a set-up that was sent, the call
+// gets its answer elsewhere, and the first server holds it for nobody.
+func TestSetupCutWithItsConnectionIsReleased(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness("a", "b")
+			defer h.stop()
+			caller := h.call("1", 3*time.Second)
+			first, second := h.servers["a"], h.servers["b"]
+			if len(first.inFlight) == 0 {
+				first, second = second, first
+			}
+			if cancelled {
+				h.core.Withdraw("1", caller, nil)
+				synctest.Wait()
+			}
+			first.reset()
+			h.sleep(time.Second)
+			require.Equal(t, 1, first.releasesReceived["1"])
+			if !cancelled {
+				require.Contains(t, second.inFlight, "1", "the second attempt")
+				second.answer("1", "body")
+				h.sleep(time.Second)
+				require.True(t, caller.established)
+				require.Zero(t, second.releasesReceived["1"])
+			}
+		})
+	}
+}
