Exchange releases with a server for 10 s after the list removed it

Callers were left on calls from before a restart: the gatekeeper was killed and started again, the list then removed the call's server, and the server's release, half a second to two seconds later, had no connection to come on. And a removed server that ran was never told the end of the calls that the gatekeeper had released to its callers.

Cause: Peer.retire closed the connections at once. Change: attempts end as before, nothing new is sent, but the connections stay open for lingerTime (10 s) and carry releases both ways. The server is released too where a removal ends its calls.

Test: TestRemovedServerExchangesReleases fails without the change.

--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -87,7 +87,8 @@
 	// minRedialWait and maxRedialWait bound the wait before a dial is retried. The wait doubles with each retry.
 	minRedialWait = 50 * time.Millisecond
 	maxRedialWait = time.Second
-	// lingerTime is how long a retired peer keeps running, to report attempts that the core still passes to it as NotSent.
+	// lingerTime is how long a retired peer keeps running, to report attempts that the core still passes to it as NotSent, and to
+	// exchange releases with its server.
 	lingerTime = 10 * time.Second
 	// warnInterval is the least time between two log entries about failed connects to a server.
 	warnInterval = 10 * time.Second
@@ -111,6 +112,7 @@
 	state  atomic.Int32 // control.State of the server on the list; also read by connection writers, before they send a set-up
 
 	conns           []*peerConn // open connections
+	lingering       []*peerConn // open connections to a server that was removed from the list: they carry releases only
 	dialing         *peerConn   // connection that is being opened, or nil
 	queued          []Attempt   // attempts that wait for a connection
 	redialWait      time.Duration
@@ -161,8 +163,9 @@
 
 func (p *Peer) gone() bool { return control.State(p.state.Load()) == control.Gone }
 
-// retire ends the peer of a server that was removed from the list: it closes the connections, fails the queued
-// attempts and ends the calls established at the server.
+// retire ends the peer of a server that was removed from the list: it fails the attempts and ends the calls established at the
+// server. The connections stay open for lingerTime: the server may still run, and release calls of which this process does not know,
+// because they were established before its start.
 func (p *Peer) retire() {
 	p.stopDial()
 	p.stopRedialTimer()
@@ -173,7 +176,8 @@
 	for len(p.conns) > 0 {
 		c := p.conns[0]
 		p.removeConn(c)
-		c.conn.Close()
+		c.lingering = true
+		p.lingering = append(p.lingering, c)
 	}
 	p.failQueued(control.NotSent)
 	for _, r := range p.pendingReleases {
@@ -181,7 +185,18 @@
 	}
 	p.pendingReleases = nil
 	p.core.Post(func() { p.core.serverLost(p, serverRemoved) })
-	p.After(lingerTime, p.Stop)
+	p.After(lingerTime, func() {
+		p.closeLingering()
+		p.Stop()
+	})
+}
+
+// closeLingering closes the connections to a server that was removed from the list.
+func (p *Peer) closeLingering() {
+	for _, c := range p.lingering {
+		c.conn.Close()
+	}
+	p.lingering = nil
 }
 
 // shutdown stops the peer without notifying the core or the server.
@@ -373,7 +388,7 @@
 func (p *Peer) release(id string, cause int) {
 	p.Post(func() {
 		var best *peerConn
-		for _, c := range p.conns {
+		for _, c := range slices.Concat(p.conns, p.lingering) {
 			if c.proven && (best == nil || len(c.inFlight) < len(best.inFlight)) {
 				best = c
 			}
@@ -427,6 +442,8 @@
 	received bool                       // a message has been received on it
 	proven   bool                       // it has shown that the server is alive; see Dialer.Announces
 	closed   bool
+
+	lingering bool // see Peer.lingering
 }
 
 // send hands an attempt to the connection.
@@ -514,8 +531,14 @@
 
 // Released implements ServerEvents.
 func (c *peerConn) Released(id string, cause int, report []float64) {
-	c.ifOpen(func(p *Peer) {
-		c.heard()
+	p := c.peer
+	p.Post(func() {
+		if c.closed && !c.lingering {
+			return
+		}
+		if !c.closed {
+			c.heard()
+		}
 		p.core.Post(func() { p.core.released(p, id, cause, report) })
 	})
 }
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -142,3 +142,28 @@
 		})
 	}
 }
+
+// Guards against calls left standing at a server that is removed from the list and still runs: it is told the end of those that this
+// process ends, and the callers that of those which it releases and which this process does not know.
+func TestRemovedServerExchangesReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a")
+		defer h.stop()
+		unknown := orphans{}
+		h.core.SetOrphans(unknown)
+		caller := h.call("1", 3*time.Second)
+		server := h.servers["a"]
+		server.answer("1", "body")
+		synctest.Wait()
+		h.setState("a", 0, control.Gone)
+		h.sleep(time.Second)
+		require.Equal(t, 1, caller.releases)
+		require.Equal(t, 1, server.releasesReceived["1"])
+		require.Zero(t, server.closed)
+		server.events.Released("2", CauseNormal, nil)
+		synctest.Wait()
+		require.Equal(t, 1, unknown["2"])
+		h.sleep(lingerTime)
+		require.Equal(t, 1, server.closed)
+	})
+}
