--- a/control/outlier/outlier_test.go
+++ b/control/outlier/outlier_test.go
@@ -360,6 +360,24 @@
 	return all, list
 }
 
+// contradicted returns the evidence of a member that failed at every server, and of others that succeeded at all of them.
+func contradicted(list []Server) []Evidence {
+	const observations = 100
+	failing := Evidence{Member: "failing"}
+	var others []Evidence
+	for _, s := range list {
+		failing.Servers = append(failing.Servers, Observation{Server: s.ID, Failures: observations})
+	}
+	for i := range 4 {
+		other := Evidence{Member: fmt.Sprint("succeeding", i)}
+		for _, s := range list {
+			other.Servers = append(other.Servers, Observation{Server: s.ID, Successes: observations})
+		}
+		others = append(others, other)
+	}
+	return append(others, failing)
+}
+
 // isolatedPairwise compares each member with the summed evidence of all others, computed separately for each.
 func isolatedPairwise(now control.Micros, all []Evidence, list []Server) (isolated []string) {
 	if len(all) < 3 {
@@ -392,6 +410,9 @@
 	found := 0
 	rapid.Check(t, func(t *rapid.T) {
 		all, list := drawEvidence(t)
+		if rapid.Bool().Draw(t, "with a contradicted member") {
+			all = append(all, contradicted(list)...)
+		}
 		everyone := combine(now, all, list, nil)
 		want := isolatedPairwise(now, all, list)
 		found += len(want)
