Take an event of discovery whose bytes come slowly

With discovery trickling, gatekeepers never learnt of a change: a connection counted as dead 2.5 s after the last whole line, and the next one began the same event anew.

Change: 2.5 s without a byte end a connection, and a line may take 5.5 s, so that a change is known 6 s after discovery had it and could be reached, and a line without an end does not hold the reader.

Measured: an event that takes 5 s, TestTricklingEventIsTaken: never taken in 8 connections before, taken on the first now. TestEndlessLineEndsTheConnection and the tests of silence pass.

--- a/internal/protocol/bus/bus_test.go
+++ b/internal/protocol/bus/bus_test.go
@@ -231,3 +231,63 @@
 		}
 	}
 }
+
+// tricklingBus accepts a connection and sends head and event, a few bytes at a time. It returns when the reader has applied the event.
+func tricklingBus(t *testing.T, bytesAtATime int, gap time.Duration) (took time.Duration, tries int) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	began := time.Now()
+	r := &Reader{Addr: "bus", Log: log, Apply: func(routing.Update) {
+		took = time.Since(began)
+		cancel()
+	}, Dial: func(context.Context, string) (net.Conn, error) {
+		tries++
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			in := textproto.NewReader(bufio.NewReader(far))
+			in.ReadLine()
+			in.ReadMIMEHeader()
+			body := []byte(head + event(1, true, "a", "up"))
+			for len(body) > 0 {
+				n := min(bytesAtATime, len(body))
+				if _, err := far.Write(body[:n]); err != nil {
+					return
+				}
+				body = body[n:]
+				time.Sleep(gap)
+			}
+		}()
+		return near, nil
+	}}
+	stop := time.AfterFunc(30*time.Second, cancel)
+	defer stop.Stop()
+	r.Run(ctx)
+	time.Sleep(2 * gap) // until the writers have seen the end of their connections
+	return took, tries
+}
+
+// Guards against an event that is never taken because its line comes slowly: each reconnect began it anew. It must be known 6 s after
+// discovery had it and could be reached.
+func TestTricklingEventIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		size := len(head + event(1, true, "a", "up"))
+		took, tries := tricklingBus(t, size/50, 100*time.Millisecond) // 5 s in all
+		if took == 0 || took > 6*time.Second || tries != 1 {
+			t.Errorf("taken after %v and %d connections", took, tries)
+		}
+	})
+}
+
+// Guards against a connection on which nothing but a byte now and then arrives and that is kept for ever.
+func TestEndlessLineEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took, tries := tricklingBus(t, 1, time.Second)
+		if took != 0 || tries < 4 {
+			t.Errorf("taken after %v, %d connections in 30 s", took, tries)
+		}
+	})
+}
--- a/internal/protocol/bus/reader.go
+++ b/internal/protocol/bus/reader.go
@@ -23,13 +23,16 @@
 
 const (
 	path = "/bus/read"
-	// silenceTimeout is the time without a line after which a connection is considered dead. The bus sends a comment every
+	// silenceTimeout is the time without a byte after which a connection is considered dead. The bus sends a comment every
 	// second. A gatekeeper must know the events that a silent bus withholds 4 s after it went silent, so the next connection
 	// has to be established well before that.
 	silenceTimeout = 2500 * time.Millisecond
-	minRetryWait   = 20 * time.Millisecond
-	maxRetryWait   = 250 * time.Millisecond // a gatekeeper must know the events of a failed bus after 2 s
-	maxLine        = 256 << 10              // bytes
+	// lineTimeout is the time that one line may take if its bytes come slowly. A gatekeeper must know an event 6 s after discovery
+	// had it and could be reached.
+	lineTimeout  = 5500 * time.Millisecond
+	minRetryWait = 20 * time.Millisecond
+	maxRetryWait = 250 * time.Millisecond // a gatekeeper must know the events of a failed bus after 2 s
+	maxLine      = 256 << 10              // bytes
 )
 
 // Reader reads the bus, reconnects when a connection ends, and applies each change once, in order.
@@ -118,7 +121,9 @@
 	if err != nil {
 		return err
 	}
-	in := bufio.NewReaderSize(conn, maxLine)
+	timed := &timedReader{conn: conn}
+	timed.beginLine()
+	in := bufio.NewReaderSize(timed, maxLine)
 	text := textproto.NewReader(in)
 	status, err := text.ReadLine()
 	if err != nil {
@@ -134,10 +139,40 @@
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
 		in = bufio.NewReaderSize(httputil.NewChunkedReader(in), maxLine)
 	}
-	return r.readStream(in, func() { conn.SetReadDeadline(time.Now().Add(silenceTimeout)) })
+	return r.readStream(in, timed.beginLine)
 }
 
-// readStream reads server-sent events until the stream ends. alive is called for each line.
+// timedReader reads a connection with silenceTimeout for the next bytes and lineTimeout for a line.
+type timedReader struct {
+	conn    net.Conn
+	lineEnd time.Time
+}
+
+// beginLine begins the time of the next line.
+func (t *timedReader) beginLine() {
+	t.lineEnd = time.Now().Add(lineTimeout)
+	t.extend()
+}
+
+// extend gives the other side time for its next bytes.
+func (t *timedReader) extend() {
+	deadline := time.Now().Add(silenceTimeout)
+	if deadline.After(t.lineEnd) {
+		deadline = t.lineEnd
+	}
+	t.conn.SetReadDeadline(deadline)
+}
+
+// Read implements io.Reader.
+func (t *timedReader) Read(p []byte) (int, error) {
+	n, err := t.conn.Read(p)
+	if n > 0 {
+		t.extend()
+	}
+	return n, err
+}
+
+// readStream reads server-sent events until the stream ends. onLine is called for each line.
 func (r *Reader) readStream(in *bufio.Reader, onLine func()) error {
 	var id string
 	var data []byte
