Cut peer.go and link.go by job: connections of a peer, ports of a link

peer_conn.go has what one connection to a server does, port.go how a link reserves its port and drops new connections (relay.Lost). Condition of a link: data in pieces (PieceSize, PieceGap), for the soak of short trials.

--- a/internal/relay/condition.go
+++ b/internal/relay/condition.go
@@ -26,6 +26,8 @@
 	Delay     time.Duration // added to everything that passes
 	Jitter    time.Duration // maximum additional delay, uniformly distributed; TCP data stays in order
 	BytesPerS int           // bandwidth limit; 0: unlimited
+	PieceSize int           // TCP data passes in pieces of this many bytes; 0: as it comes
+	PieceGap  time.Duration // between two pieces
 	Loss      float64       // fraction of datagrams that are lost, 0 to 1
 	Duplicate float64       // fraction of datagrams that are delivered twice, 0 to 1
 	Reorder   float64       // fraction of datagrams that are held back by another 2 x (Delay + Jitter), at least 5 ms, so that later ones overtake them
@@ -50,6 +52,8 @@
 	switch {
 	case c.Delay < 0 || c.Delay > MaxDelay || c.Jitter < 0 || c.Jitter > MaxDelay:
 		return fmt.Errorf("delay and jitter must be 0 to %v", MaxDelay)
+	case c.PieceSize < 0 || c.PieceGap < 0 || c.PieceGap > MaxDelay:
+		return fmt.Errorf("pieces must have 0 bytes or more, with gaps of 0 to %v", MaxDelay)
 	case c.BytesPerS < 0 || c.BytesPerS > maxRate:
 		return errors.New("bytes per second must be 0 to 2^30")
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -16,13 +16,12 @@
 )
 
 const (
-	chunkSize            = 16 << 10 // bytes per read
-	maxQueuedChunks      = 32       // chunks queued in one direction of a connection; beyond it the sender blocks, as on a full socket buffer
-	dialTimeout          = 2 * time.Second
-	maxPacketSize        = 64 << 10
-	natTimeout           = 30 * time.Second     // idle time after which the return path of a datagram sender is forgotten
-	fillersBeyondBacklog = 2                    // connections that fill an accept queue: one more than its length, and one to spare
-	minReorderDelay      = 5 * time.Millisecond // minimum extra delay of a reordered datagram
+	chunkSize       = 16 << 10 // bytes per read
+	maxQueuedChunks = 32       // chunks queued in one direction of a connection; beyond it the sender blocks, as on a full socket buffer
+	dialTimeout     = 2 * time.Second
+	maxPacketSize   = 64 << 10
+	natTimeout      = 30 * time.Second     // idle time after which the return path of a datagram sender is forgotten
+	minReorderDelay = 5 * time.Millisecond // minimum extra delay of a reordered datagram
 )
 
 // Link forwards the connections or datagrams that one process opens to one service of another.
@@ -52,8 +51,6 @@
 	closed      bool
 }
 
-var loopback = [4]byte{127, 0, 0, 1}
-
 // reusePort listens with SO_REUSEPORT, so that the listener can share the port with the link's portGuard socket.
 var reusePort = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
 	if e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
@@ -77,27 +74,6 @@
 	return l, n.addLink(l)
 }
 
-// reservePort returns a socket that is bound to a port of 127.0.0.1, or to a free one if port is 0.
-func reservePort(port int) (guard, bound int, err error) {
-	guard, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return -1, 0, err
-	}
-	err = unix.SetsockoptInt(guard, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	if err == nil {
-		err = unix.Bind(guard, &unix.SockaddrInet4{Port: port, Addr: loopback})
-	}
-	var address unix.Sockaddr
-	if err == nil {
-		address, err = unix.Getsockname(guard)
-	}
-	if err != nil {
-		unix.Close(guard)
-		return -1, 0, err
-	}
-	return guard, address.(*unix.SockaddrInet4).Port, nil
-}
-
 // UDP opens a link for datagrams. Datagrams that To sends back to the source address are returned to the original sender.
 func (n *Network) UDP(from, to, service string) (*Link, error) {
 	return n.udpAt(from, to, service, 0)
@@ -226,52 +202,6 @@
 	}
 }
 
-// dropNewConnections makes the kernel drop the first packet of each new connection: it does so where the accept queue of the
-// listening socket is full. Open connections stay open. The caller holds l.mu.
-func (l *Link) dropNewConnections() {
-	if l.fillers != nil {
-		return
-	}
-	if l.listener != nil {
-		l.listener.Close()
-		l.listener = nil
-	}
-	const backlog = 0 // one connection fits into the queue
-	if unix.Listen(l.portGuard, backlog) != nil {
-		return
-	}
-	for range backlog + fillersBeyondBacklog {
-		filler, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
-		if err != nil {
-			return
-		}
-		unix.Connect(filler, &unix.SockaddrInet4{Port: l.port, Addr: loopback})
-		l.fillers = append(l.fillers, filler)
-	}
-}
-
-// acceptNewConnections ends dropNewConnections, after the link's listener has taken over the port. The caller holds l.mu.
-func (l *Link) acceptNewConnections() {
-	if l.fillers == nil {
-		return
-	}
-	l.closeFillers()
-	unix.Close(l.portGuard)
-	guard, _, err := reservePort(l.port)
-	if err != nil { // the listener, if there is one, still holds the port
-		guard = -1
-	}
-	l.portGuard = guard
-}
-
-// closeFillers closes the connections that fill the accept queue. The caller holds l.mu.
-func (l *Link) closeFillers() {
-	for _, filler := range l.fillers {
-		unix.Close(filler)
-	}
-	l.fillers = nil
-}
-
 // resetAll resets all open connections.
 func (l *Link) resetAll() {
 	l.mu.Lock()
@@ -465,10 +395,13 @@
 				p.link.packets.Add(1)
 			}
 			last = dueTime(last, now, c, n, p.link.randomFloat)
-			select {
-			case queue <- piece{data: buf[:n], dueTime: last}:
-			case <-p.done:
-				return
+			for part := range slices.Chunk(buf[:n], pieceSize(c, n)) {
+				select {
+				case queue <- piece{data: part, dueTime: last}:
+				case <-p.done:
+					return
+				}
+				last = last.Add(c.PieceGap)
 			}
 		}
 		if err != nil {
@@ -482,6 +415,14 @@
 	}
 }
 
+// pieceSize returns the size of the pieces in which data passes under a condition.
+func pieceSize(c Condition, size int) int {
+	if c.PieceSize > 0 {
+		return c.PieceSize
+	}
+	return size
+}
+
 // write writes the queued pieces to a connection, each when it is due.
 func (p *pair) write(to *net.TCPConn, d *direction, queue <-chan piece) {
 	for q := range queue {
