Take a release on a connection of the server from before its removal

A caller was left on a call: the list removed the server and named it again in one batch, after an outage of discovery. Connections of the old entry led to the new process, which released the call on one of them. The gatekeeper confirmed the release and dropped it, as from a server at which the call does not stand.

Change: two entries of one name or one address are the same server, for releases, late answers and releases sent again.

TestReleaseOnAConnectionFromBeforeARemoval fails without the change (0 releases).

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -124,7 +124,7 @@
 func (c *Core) lateAnswer(p *Peer, r attemptRef) {
 	call := c.calls[r.id]
 	switch {
-	case call == nil || call.current == nil || call.current.peer != p:
+	case call == nil || call.current == nil || !call.current.peer.sameServer(p):
 		p.release(r.id, CauseNormal)
 	case call.current.number != r.attemptNumber:
 		call.lateAnswer = true
@@ -134,7 +134,7 @@
 // releaseAgain sends the release of a call again, which its server may not have read. It does not where another attempt of the call is
 // in flight or established there by now: servers identify a call by its id alone.
 func (c *Core) releaseAgain(p *Peer, id string, cause int) {
-	if call := c.calls[id]; call == nil || call.current == nil || call.current.peer != p {
+	if call := c.calls[id]; call == nil || call.current == nil || !call.current.peer.sameServer(p) {
 		p.release(id, cause)
 	}
 }
@@ -181,7 +181,7 @@
 // the call because its answer to an earlier attempt was lost releases only that attempt.
 func (c *Core) released(p *Peer, id string, cause int, report []float64) {
 	call := c.calls[id]
-	if call == nil || !call.established || call.current.peer != p {
+	if call == nil || !call.established || !call.current.peer.sameServer(p) {
 		if report != nil {
 			c.noteReport(p.server, report)
 			c.handle(control.Status{Server: p.server, Code: control.OK, Report: report})
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -158,6 +158,10 @@
 	})
 }
 
+// sameServer reports whether two peers may be connected to the same process: after a removal and a new entry of the list, the
+// connections of the old peer and those of the new one lead there.
+func (p *Peer) sameServer(other *Peer) bool { return p.server == other.server || p.addr == other.addr }
+
 func (p *Peer) ready() bool { return control.State(p.state.Load()) == control.Ready }
 
 func (p *Peer) gone() bool { return control.State(p.state.Load()) == control.Gone }
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -167,3 +167,24 @@
 		require.Equal(t, 1, server.closed)
 	})
 }
+
+// Guards against a release that is confirmed and lost: the list removes a server and names it again, and the server releases a call on
+// one of the connections that were open before.
+func TestReleaseOnAConnectionFromBeforeARemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a")
+		defer h.stop()
+		server := h.servers["a"]
+		older := server.events
+		h.setState("a", 0, control.Gone)
+		h.setState("a", 0, control.Ready)
+		h.sleep(100 * time.Millisecond)
+		caller := h.call("1", 3*time.Second)
+		server.answer("1", "body")
+		synctest.Wait()
+		require.True(t, caller.established)
+		older.Released("1", CauseNormal, nil)
+		synctest.Wait()
+		require.Equal(t, 1, caller.releases)
+	})
+}
