--- a/cmd/beammux/lab.go
+++ b/cmd/beammux/lab.go
@@ -19,6 +19,7 @@
 
 type labCmd struct {
 	Fleet       labFleetCmd       `cmd:"" help:"Run many gatekeeper processes on loopback with injected faults."`
+	Soak        labSoakCmd        `cmd:"" help:"Play short, dense trials with a handful of gatekeepers."`
 	Scale       labScaleCmd       `cmd:"" help:"Run a control plane and many hollow gatekeepers on loopback, and measure the cost of control and how settings come into force; exit 1 if a rule was broken."`
 	ScaleSeries labScaleSeriesCmd `cmd:"" help:"Combine reports of lab scale by the number of gatekeepers."`
 	Hollow      labHollowCmd      `cmd:"" hidden:"" help:"A process of lab scale."`
--- a/internal/fleetcheck/fleetcheck.go
+++ b/internal/fleetcheck/fleetcheck.go
@@ -51,11 +51,18 @@
 	AnsweredLate                        // Call received its first answer from Process after its time
 	ProcessorDelayed                    // runnable threads of Process (or Laboratory) waited for a processor in the last Value seconds: Span in all, one of them Class microseconds
 	VerdictPhaseChanged                 // Process logged that its verdict on server Peer (its number) entered phase What
+	GaveUp                              // the caller cancelled Call before its answer: none is due any more
+	Released                            // the caller read the release of Call
+	ServerReleased                      // server Process wrote the release of Call
+	ServerLost                          // server Process was lost with Call established or in progress
+	ServerSetup                         // a set-up of Call arrived whole at server Process, from gatekeeper Peer
+	Listed                              // the list of servers names Process in state What: up, draining or removed
 	kindCount
 )
 
 var kindNames = [kindCount]string{"", "ready", "asked", "stopped", "crashed", "paused", "woken", "troubled", "healed", "logged", "tried",
-	"stood", "refused", "failed", "second", "expired", "broken", "unsent", "given", "fault from", "fault to", "viewed", "heard", "limited", "moved", "judged", "late", "delayed", "changed"}
+	"stood", "refused", "failed", "second", "expired", "broken", "unsent", "given", "fault from", "fault to", "viewed", "heard", "limited", "moved", "judged", "late", "delayed", "changed",
+	"gave up", "released", "server released", "server lost", "server setup", "listed"}
 
 // String returns the name of the kind as written to event files.
 func (k Kind) String() string {
@@ -179,6 +186,7 @@
 	down         []span           // while not ready or paused, extended by recoveryGrace
 	stopRequests []control.Micros // times of SIGTERM
 	link         []span           // faults on the link to or from its callers
+	faulty       map[string]bool  // directions of that link that are impaired, by their first process
 }
 
 // sentCall is the event of a call together with the gatekeeper to which the call was sent.
@@ -314,6 +322,8 @@
 		c.extraAnswer(e, evidence("a second final answer: "+e.What))
 	case Expired, Broken:
 		c.unanswered(e, evidence)
+	case GaveUp:
+		delete(c.pendingCalls, e.Call)
 	case Unsent:
 		c.stats.Unsent++
 		c.timeline.outcome(e, false)
@@ -344,10 +354,18 @@
 		return
 	}
 	p := c.process(gatekeeper)
-	switch {
-	case e.Kind == LinkFaulty && !open(p.link):
-		p.link = append(p.link, span{from: e.At})
-	case e.Kind == LinkHealed && open(p.link):
+	if e.Kind == LinkFaulty {
+		if p.faulty == nil {
+			p.faulty = map[string]bool{}
+		}
+		p.faulty[e.Process] = true
+		if !open(p.link) {
+			p.link = append(p.link, span{from: e.At})
+		}
+		return
+	}
+	delete(p.faulty, e.Process)
+	if len(p.faulty) == 0 && open(p.link) {
 		p.link[len(p.link)-1].to = e.At + recoveryGrace
 	}
 }
--- /dev/null
+++ b/internal/fleetcheck/standing.go
@@ -0,0 +1,173 @@
+package fleetcheck
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"beammux/control"
+)
+
+// RuleStanding is that an established call which is over is released to its caller in time.
+const RuleStanding = "a call that is over is released to its caller"
+
+// Limits of the protocol ("The rules on sockets") for the release of an established call that is over, with the slack of AnswerSlack.
+const (
+	afterRelease = control.Micros(1_000_000) + AnswerSlack // from the server's release
+	afterLoss    = control.Micros(8_000_000) + AnswerSlack // from an end of which no release could be sent
+)
+
+// Standing checks RuleStanding from what callers and servers saw. A release is owed by a gatekeeper that runs and can be reached by its
+// callers. Faults between gatekeepers and servers excuse no missing release: while they last, and where the gatekeeper was started
+// since, the release is due later.
+type Standing struct {
+	callerPrefix string
+	now          control.Micros
+	calls        map[string]*standingCall
+	down         faultSpans // by gatekeeper: not ready
+	paused       faultSpans // by gatekeeper
+	links        linkSpans
+	removedAt    map[string]control.Micros // by server that the list has removed
+	started      map[string][]control.Micros
+	answeredBy   map[string]string // last server that answered a call
+}
+
+// standingCall is a call that was established for its caller.
+type standingCall struct {
+	id, gatekeeper, server string
+	place                  Place
+	establishedAt          control.Micros
+	releasedAt             control.Micros // read by the caller; 0: not
+	serverReleasedAt       control.Micros // written by the server; 0: not
+	serverLostAt           control.Micros // 0: not
+}
+
+// NewStanding returns the invariant. The names of the callers' processes, and of no others, begin with callerPrefix.
+func NewStanding(callerPrefix string) *Standing {
+	return &Standing{callerPrefix: callerPrefix, calls: map[string]*standingCall{}, down: faultSpans{}, paused: faultSpans{},
+		links: newLinkSpans(), removedAt: map[string]control.Micros{}, started: map[string][]control.Micros{}, answeredBy: map[string]string{}}
+}
+
+// Rule implements Invariant.
+func (s *Standing) Rule() string { return RuleStanding }
+
+// Event implements Invariant.
+func (s *Standing) Event(e *Event, _ func(Evidence)) {
+	s.now = max(s.now, e.At)
+	call := s.calls[e.Call]
+	switch e.Kind {
+	case Ready:
+		s.down.end(e.Process, e.At)
+		s.started[e.Process] = append(s.started[e.Process], e.At)
+	case Stopped, Crashed:
+		s.down.begin(e.Process, e.At)
+		s.paused.end(e.Process, e.At)
+	case Paused:
+		s.paused.begin(e.Process, e.At)
+	case Resumed:
+		s.paused.end(e.Process, e.At)
+	case LinkFaulty, LinkHealed:
+		s.links.event(e)
+	case Listed:
+		if e.What == "removed" {
+			s.removedAt[e.Process] = e.At
+		}
+	case ServerEstablished:
+		s.answeredBy[e.Call] = e.Process
+	case Established:
+		s.calls[e.Call] = &standingCall{id: e.Call, gatekeeper: e.Process, server: s.answeredBy[e.Call], place: e.Place, establishedAt: e.At}
+	}
+	if call == nil {
+		return
+	}
+	switch e.Kind {
+	case Released:
+		if call.releasedAt == 0 {
+			call.releasedAt = e.At
+		}
+	case ServerReleased:
+		if e.Process == call.server { // another one holds only an earlier attempt, whose answer was lost
+			call.serverReleasedAt = e.At
+		}
+	case ServerLost:
+		if e.Process == call.server {
+			call.serverLostAt = e.At
+		}
+	}
+}
+
+// End implements Invariant.
+func (s *Standing) End(report func(Evidence)) {
+	for _, call := range s.calls {
+		due, why := s.due(call)
+		if due == 0 || s.excused(call, due) {
+			continue
+		}
+		switch {
+		case call.releasedAt > due:
+			report(s.evidence(call, fmt.Sprintf("%s; its caller read the release %d ms too late", why, (call.releasedAt-due)/1000)))
+		case call.releasedAt == 0 && s.now > due:
+			report(s.evidence(call, why+"; its caller read no release"))
+		}
+	}
+}
+
+func (s *Standing) evidence(call *standingCall, what string) Evidence {
+	return Evidence{At: call.establishedAt, Process: call.gatekeeper, Call: call.id, Place: call.place.String(),
+		What: fmt.Sprintf("established at %d ms, %s", call.establishedAt/1000, what)}
+}
+
+// due returns by when the caller must have read the release of a call, and why; 0 if the call is not over.
+func (s *Standing) due(call *standingCall) (due control.Micros, why string) {
+	switch {
+	case call.serverReleasedAt > 0 && s.startedSince(call, call.establishedAt) && s.removedBetween(call.server, call.establishedAt, call.serverReleasedAt):
+		// The gatekeeper does not know the call, and has no connection to the server: none is owed for what an earlier process held.
+	case call.serverReleasedAt > 0:
+		why = fmt.Sprintf("released by %s at %d ms", call.server, call.serverReleasedAt/1000)
+		link := linkName(call.gatekeeper, call.server)
+		if s.links.during(link, call.serverReleasedAt, call.serverReleasedAt+afterRelease) || s.startedSince(call, call.establishedAt) {
+			// The release was lost or waits for a connection: it comes with the next one, or the gatekeeper takes the server for lost.
+			healed := max(call.serverReleasedAt, s.links.lastEnd(link, s.now), s.lastStart(call))
+			return healed + afterLoss, why
+		}
+		return call.serverReleasedAt + afterRelease, why
+	case call.serverLostAt > 0 && !s.startedSince(call, call.establishedAt):
+		return call.serverLostAt + afterLoss, fmt.Sprintf("lost with %s at %d ms", call.server, call.serverLostAt/1000)
+	}
+	return 0, ""
+}
+
+// startedSince reports whether a call's gatekeeper was started again after a time: the new process does not know the call.
+func (s *Standing) startedSince(call *standingCall, at control.Micros) bool {
+	return s.lastStart(call) > at || s.down.during(call.gatekeeper, at, s.now)
+}
+
+// removedBetween reports whether the list removed a server between two times.
+func (s *Standing) removedBetween(server string, from, to control.Micros) bool {
+	at := s.removedAt[server]
+	return from < at && at < to
+}
+
+// lastStart returns when the call's gatekeeper was last ready.
+func (s *Standing) lastStart(call *standingCall) (at control.Micros) {
+	for _, ready := range s.started[call.gatekeeper] {
+		at = max(at, ready)
+	}
+	return at
+}
+
+// excused reports whether a call's gatekeeper could not send its release to its callers by a time.
+func (s *Standing) excused(call *standingCall, due control.Micros) bool {
+	from := max(call.serverReleasedAt, call.serverLostAt)
+	if s.down.during(call.gatekeeper, from, due) || s.paused.during(call.gatekeeper, from, due) {
+		return true
+	}
+	for name := range s.links.faultSpans {
+		a, b, _ := strings.Cut(name, " ")
+		if slices.Contains([]string{a, b}, call.gatekeeper) && (strings.HasPrefix(a, s.callerPrefix) || strings.HasPrefix(b, s.callerPrefix)) &&
+			s.links.during(name, from, due) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleetlab/faults.go
+++ b/internal/fleetlab/faults.go
@@ -71,12 +71,20 @@
 	switch fault.Kind {
 	case "kill", "term", "pause":
 		return f.signalProcesses(fault)
-	case "lose", "slow", "drain", "hang", "ill", "engaged":
+	case "lose", "slow", "drain", "hang", "ill", "spoil", "engaged":
 		return f.disturbServers(fault)
+	case "vanish":
+		return f.vanish(fault)
+	case "remove":
+		return f.remove(fault)
 	case "lie":
 		return f.lie(fault)
 	case "rude":
 		return f.rude(fault)
+	case "crowd":
+		return f.crowd(fault)
+	case "hup":
+		return f.hangUp(fault)
 	case "reload":
 		return f.reload(fault)
 	}
@@ -111,6 +119,9 @@
 			case "term":
 				f.runs.record(fleetcheck.StopRequested, line{Process: name, What: "SIGTERM"})
 				proc.signal(syscall.SIGTERM)
+				if fault.KillAfter > 0 {
+					time.AfterFunc(time.Duration(fault.KillAfter), func() { f.killLate(proc) })
+				}
 			case "pause":
 				f.runs.record(fleetcheck.Paused, line{Process: name, What: "SIGSTOP"})
 				proc.signal(syscall.SIGSTOP)
@@ -134,6 +145,14 @@
 	}
 }
 
+// killLate kills a gatekeeper that has not ended some time after SIGTERM, as the platform does.
+func (f *fleet) killLate(proc *process) {
+	if !proc.hasExited() {
+		f.runs.record(fleetcheck.Stopped, line{Process: proc.name, What: "SIGKILL after SIGTERM"})
+		proc.signal(syscall.SIGKILL)
+	}
+}
+
 // lie makes gatekeepers report failures of every server as long as their file falseEvidenceFile exists
 // (ejection.FalseEvidenceVariable).
 func (f *fleet) lie(fault script.Fault) func(context.Context) {
@@ -235,11 +254,18 @@
 			return
 		}
 	}
-	if err := f.start(ctx, g); err != nil && ctx.Err() == nil {
+	if err := f.start(ctx, g); err != nil && ctx.Err() == nil && !f.stoppedByFault(g) {
 		f.runs.record(fleetcheck.Crashed, line{Process: g.name, What: "started again: " + err.Error()})
 	}
 }
 
+// stoppedByFault reports whether another fault has stopped the last process of a gatekeeper.
+func (f *fleet) stoppedByFault(g *gatekeeper) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return g.proc != nil && g.proc.wasStopped()
+}
+
 // disturbServers injects a fault of servers.
 func (f *fleet) disturbServers(fault script.Fault) func(context.Context) {
 	var affected []*server
@@ -263,16 +289,19 @@
 			case fault.Kind == "ill":
 				srv.s.SetFailureRate(fault.Part)
 				affected = append(affected, srv)
+			case fault.Kind == "spoil":
+				srv.s.SetSpoiledShare(fault.Part)
+				affected = append(affected, srv)
 			case srv.state != "up": // another fault affects it already
 			case fault.Kind == "lose":
-				srv.state = "lost"
+				srv.state = stateLost
 				srv.stopStatus()
 				f.net.Down(srv.name)
 				srv.s.Kill()
 				affected = append(affected, srv)
 			case fault.Kind == "drain":
 				srv.state = "draining"
-				f.bus.Change(f.host(srv))
+				f.publish(srv)
 				affected = append(affected, srv)
 			}
 			srv.mu.Unlock()
@@ -281,9 +310,11 @@
 	return func(context.Context) {
 		for _, srv := range affected {
 			switch fault.Kind {
-			case "slow", "hang", "ill", "engaged":
+			case "slow", "hang", "ill", "spoil", "engaged":
 				srv.mu.Lock()
 				switch fault.Kind {
+				case "spoil":
+					srv.s.SetSpoiledShare(0)
 				case "slow":
 					srv.s.Slow(1)
 				case "engaged":
@@ -302,13 +333,20 @@
 			case "drain":
 				srv.mu.Lock()
 				srv.state = "up"
-				f.bus.Change(f.host(srv))
+				f.publish(srv)
 				srv.mu.Unlock()
 			}
 		}
 	}
 }
 
+// publish publishes the state of a server on the event bus. The caller holds srv.mu.
+func (f *fleet) publish(srv *server) {
+	host := f.host(srv)
+	f.runs.record(fleetcheck.Listed, line{Process: srv.name, What: host.State})
+	f.bus.Change(host)
+}
+
 // restartCold starts a lost server again: it is cold, and the bus publishes its new start time.
 func (f *fleet) restartCold(srv *server) error {
 	if err := f.startServer(srv); err != nil {
@@ -318,7 +356,7 @@
 	defer srv.mu.Unlock()
 	srv.s.StartCold(startCapacity, warmUpTime)
 	srv.state, srv.since = "up", time.Now()
-	f.bus.Change(f.host(srv))
+	f.publish(srv)
 	return nil
 }
 
@@ -346,6 +384,8 @@
 		c.Delay, c.Jitter = time.Duration(fault.Delay), time.Duration(fault.Jitter)
 	case "bandwidth":
 		c.BytesPerS = fault.Rate
+	case "pieces":
+		c.PieceSize, c.PieceGap = fault.Bytes, time.Duration(fault.Delay)
 	case "loss":
 		c.Loss = fault.Part
 	case "duplicate":
@@ -422,6 +462,9 @@
 		combined.Cut = combined.Cut || c.Cut
 		combined.Delay, combined.Jitter = max(combined.Delay, c.Delay), max(combined.Jitter, c.Jitter)
 		combined.Loss, combined.Duplicate, combined.Reorder = max(combined.Loss, c.Loss), max(combined.Duplicate, c.Duplicate), max(combined.Reorder, c.Reorder)
+		if c.PieceSize > 0 && (combined.PieceSize == 0 || c.PieceSize < combined.PieceSize) {
+			combined.PieceSize, combined.PieceGap = c.PieceSize, c.PieceGap
+		}
 		if c.BytesPerS > 0 && (combined.BytesPerS == 0 || c.BytesPerS < combined.BytesPerS) {
 			combined.BytesPerS = c.BytesPerS
 		}
--- a/internal/fleetlab/script/draw.go
+++ b/internal/fleetlab/script/draw.go
@@ -114,14 +114,21 @@
 		f.Target = one(Server(rng.IntN(s.Servers)), "servers@"+zone())
 	case "slow":
 		f.Target, f.Slow = one(Server(rng.IntN(s.Servers)), "servers@"+zone()), float64(whole(2, 4))
-	case "drain", "hang":
+	case "drain", "hang", "remove":
 		f.Target = Server(rng.IntN(s.Servers))
+	case "vanish":
+		f.Target, f.How = Server(rng.IntN(s.Servers)), one(vanishings...)
+		if rng.IntN(3) > 0 {
+			f.Removed = Duration(f.For) / 2
+		}
 	case "ill":
 		f.Target, f.Part = Server(rng.IntN(s.Servers)), float64(whole(6, 10))/10
 	case "engaged":
 		f.Target, f.Number, f.Part = "servers", "5550"+strconv.Itoa(whole(100, 999)), float64(whole(1, 4))/10
-	case "lie", "rude":
+	case "lie", "rude", "crowd", "hup":
 		f.Target = gatekeeper()
+	case "spoil":
+		f.Target, f.Part = Server(rng.IntN(s.Servers)), float64(whole(1, 5))/10
 	case "partition":
 		if a := rng.IntN(s.Zones); s.Zones > 1 && rng.IntN(2) == 0 {
 			f.From, f.To = "zone:"+Zone(a), "zone:"+Zone((a+1+rng.IntN(s.Zones-1))%s.Zones)
@@ -139,6 +146,9 @@
 	case "bandwidth":
 		links()
 		f.Rate = whole(4, 64) << 10
+	case "pieces":
+		links()
+		f.Bytes, f.Delay = whole(32, 200), Duration(whole(1, 3))*Duration(time.Millisecond)
 	case "reset":
 		links()
 		if f.Bytes = whole(200, 4000); rng.IntN(2) == 0 {
--- a/internal/fleetlab/script/script.go
+++ b/internal/fleetlab/script/script.go
@@ -67,6 +67,7 @@
 	Fleet       bool     `yaml:"fleet,omitempty"`    // gatekeepers take part in fleet gossip
 	Limits      *Limits  `yaml:"limits,omitempty"`   // fleet-wide limit on all calls
 	Verdicts    bool     `yaml:"verdicts,omitempty"` // fleet verdicts on servers are enabled
+	GiveUp      float64  `yaml:"give_up,omitempty"`  // part of the attempts that callers cancel soon after they were sent
 	Homes       []Home   `yaml:"homes,omitempty"`    // gatekeepers that receive first calls, by time; empty: all
 	Faults      []Fault  `yaml:"faults"`
 }
@@ -86,22 +87,25 @@
 
 // Fault is one fault of a script. Its kind determines which fields apply.
 type Fault struct {
-	At     Duration `yaml:"at"`               // since the start of calls
-	For    Duration `yaml:"for"`              // after this time it is undone: the process is started or resumed, the links are restored
-	Kind   string   `yaml:"fault"`            // one of Kinds
-	Target string   `yaml:"target,omitempty"` // selector of processes
-	From   string   `yaml:"from,omitempty"`   // selectors of the two ends of links
-	To     string   `yaml:"to,omitempty"`
-	State  string   `yaml:"state,omitempty"` // same or empty: stored state with which a gatekeeper is restarted
-	Delay  Duration `yaml:"delay,omitempty"`
-	Jitter Duration `yaml:"jitter,omitempty"`
-	Part   float64  `yaml:"part,omitempty"`        // of datagrams, set-ups or calls, by kind; 0 to 1
-	Slow   float64  `yaml:"slow,omitempty"`        // factor by which processing times grow
-	Number string   `yaml:"number,omitempty"`      // number whose lines are all busy; Part of the calls go there
-	Factor float64  `yaml:"factor,omitempty"`      // by which limits are multiplied
-	Rate   int      `yaml:"bytes_per_s,omitempty"` // bandwidth cap
-	Bytes  int      `yaml:"bytes,omitempty"`       // after which a connection is reset; 0: open connections are reset at once
-	Line   int      `yaml:"-"`                     // in the file, counted from 1
+	At        Duration `yaml:"at"`               // since the start of calls
+	For       Duration `yaml:"for"`              // after this time it is undone: the process is started or resumed, the links are restored
+	Kind      string   `yaml:"fault"`            // one of Kinds
+	Target    string   `yaml:"target,omitempty"` // selector of processes
+	From      string   `yaml:"from,omitempty"`   // selectors of the two ends of links
+	To        string   `yaml:"to,omitempty"`
+	State     string   `yaml:"state,omitempty"` // same or empty: stored state with which a gatekeeper is restarted
+	Delay     Duration `yaml:"delay,omitempty"`
+	Jitter    Duration `yaml:"jitter,omitempty"`
+	Part      float64  `yaml:"part,omitempty"`        // of datagrams, set-ups or calls, by kind; 0 to 1
+	Slow      float64  `yaml:"slow,omitempty"`        // factor by which processing times grow
+	Number    string   `yaml:"number,omitempty"`      // number whose lines are all busy; Part of the calls go there
+	Factor    float64  `yaml:"factor,omitempty"`      // by which limits are multiplied
+	Rate      int      `yaml:"bytes_per_s,omitempty"` // bandwidth cap
+	Bytes     int      `yaml:"bytes,omitempty"`       // after which a connection is reset; 0: open connections are reset at once
+	Removed   Duration `yaml:"removed,omitempty"`     // after which the list names a vanished server as removed; 0: never
+	How       string   `yaml:"how,omitempty"`         // one of vanishings: what new connections to a vanished server meet
+	KillAfter Duration `yaml:"kill_after,omitempty"`  // from SIGTERM to SIGKILL; 0: stopTimeout of the laboratory
+	Line      int      `yaml:"-"`                     // in the file, counted from 1
 }
 
 // Name returns a description of the fault for logs and reports.
@@ -133,21 +137,27 @@
 
 var kinds = map[string]kindSpec{
 	"kill":      {class: onGatekeepers, optional: []string{"state"}},
-	"term":      {class: onGatekeepers, optional: []string{"state"}},
+	"term":      {class: onGatekeepers, optional: []string{"state", "kill_after"}},
 	"pause":     {class: onGatekeepers},
 	"reload":    {class: onGatekeepers, required: []string{"factor"}, explicitOnly: true},
 	"lose":      {class: onServers},
 	"slow":      {class: onServers, required: []string{"slow"}},
 	"drain":     {class: onServers},
+	"vanish":    {class: onServers, required: []string{"how"}, optional: []string{"removed"}, explicitOnly: true},
+	"remove":    {class: onServers, explicitOnly: true},
 	"hang":      {class: onServers, explicitOnly: true},
 	"ill":       {class: onServers, required: []string{"part"}, explicitOnly: true},
 	"engaged":   {class: onServers, required: []string{"number", "part"}, explicitOnly: true},
 	"rude":      {class: onGatekeepers, explicitOnly: true},
+	"crowd":     {class: onGatekeepers, explicitOnly: true},
+	"hup":       {class: onGatekeepers, explicitOnly: true},
+	"spoil":     {class: onServers, required: []string{"part"}, explicitOnly: true},
 	"lie":       {class: onGatekeepers, explicitOnly: true},
 	"partition": {class: onLinks},
 	"cut":       {class: onLinks},
 	"delay":     {class: onLinks, required: []string{"delay"}, optional: []string{"jitter"}},
 	"bandwidth": {class: onLinks, required: []string{"bytes_per_s"}},
+	"pieces":    {class: onLinks, required: []string{"bytes", "delay"}, explicitOnly: true},
 	"reset":     {class: onLinks, optional: []string{"bytes"}},
 	"blackhole": {class: onLinks},
 	"refuse":    {class: onLinks},
@@ -156,6 +166,14 @@
 	"reorder":   {class: onLinks, required: []string{"part"}, datagramsOnly: true},
 }
 
+// Ways in which a server vanishes.
+const (
+	MachineLost = "lost" // new connections never come up
+	ProcessHung = "hung" // new connections are accepted and stay silent
+)
+
+var vanishings = []string{MachineLost, ProcessHung}
+
 // Kinds returns the names of all kinds of faults, sorted.
 func Kinds() []string {
 	names := make([]string, 0, len(kinds))
@@ -278,7 +296,7 @@
 
 // script parses the root mapping.
 func (p *parser) script(n *yaml.Node, s *Script) {
-	known := []string{"version", "seed", "gatekeepers", "servers", "zones", "store_members", "load", "length", "fleet", "limits", "verdicts", "homes", "faults"}
+	known := []string{"version", "seed", "gatekeepers", "servers", "zones", "store_members", "load", "length", "fleet", "limits", "verdicts", "give_up", "homes", "faults"}
 	const requiredCount = 8 // the first requiredCount keys must be present
 	var faults, homes *yaml.Node
 	values := p.mapping(n, "", known, func(key string, v *yaml.Node) {
@@ -316,6 +334,8 @@
 			}
 		case "limits":
 			s.Limits = p.limits(v, key)
+		case "give_up":
+			s.GiveUp = p.positiveNumber(key, v, maxPart)
 		case "homes":
 			homes = v
 		case "faults":
@@ -427,7 +447,8 @@
 // selectors can be checked against it.
 func (p *parser) fault(n *yaml.Node, path string, s *Script, valid bool) Fault {
 	f := Fault{Line: n.Line}
-	known := []string{"at", "for", "fault", "target", "from", "to", "state", "delay", "jitter", "part", "slow", "bytes_per_s", "bytes", "factor", "number"}
+	known := []string{"at", "for", "fault", "target", "from", "to", "state", "delay", "jitter", "part", "slow", "bytes_per_s", "bytes", "factor", "number",
+		"removed", "how", "kill_after"}
 	values := p.mapping(n, path, known, func(key string, v *yaml.Node) {
 		switch key[strings.LastIndexByte(key, '.')+1:] {
 		case "at":
@@ -446,6 +467,14 @@
 			if f.State = v.Value; f.State != "same" && f.State != "empty" {
 				p.addFault(v, key, fmt.Sprintf("%q is neither same nor empty", v.Value))
 			}
+		case "removed":
+			f.Removed = p.duration(key, v, MaxLength)
+		case "kill_after":
+			f.KillAfter = p.duration(key, v, 30*time.Second)
+		case "how":
+			if f.How = v.Value; !slices.Contains(vanishings, f.How) {
+				p.addFault(v, key, fmt.Sprintf("%q is none of %s%s", v.Value, strings.Join(vanishings, ", "), jsonfile.Hint(v.Value, vanishings)))
+			}
 		case "delay":
 			f.Delay = p.duration(key, v, 30*time.Second)
 		case "jitter":
--- a/internal/fleetlab/servers.go
+++ b/internal/fleetlab/servers.go
@@ -52,8 +52,15 @@
 		return err
 	}
 	s.SetObserver(func(e lab.Observation) {
-		if e.Kind == lab.ServerAnswered {
+		switch e.Kind {
+		case lab.ServerSetup:
+			f.serves.record(fleetcheck.ServerSetup, line{Process: srv.name, Peer: e.Peer, Call: e.Call})
+		case lab.ServerAnswered:
 			f.serves.record(fleetcheck.ServerEstablished, line{Process: srv.name, Call: e.Call, What: "stands " + e.Call})
+		case lab.ServerReleased:
+			f.serves.record(fleetcheck.ServerReleased, line{Process: srv.name, Call: e.Call})
+		case lab.ServerCut:
+			f.serves.record(fleetcheck.ServerLost, line{Process: srv.name, Call: e.Call})
 		}
 	})
 	srv.mu.Lock()
--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -14,26 +14,30 @@
 
 // Kinds of observations: callers observe attempts, servers observe set-ups.
 const (
-	Tried          ObservationKind = iota // a set-up was written to a gatekeeper; Span is the time that the caller allows
-	Unsent                                // no gatekeeper was available
-	Established                           // final answer: the call is established; Body is its session description
-	Refused                               // final answer: the gatekeeper refused the call
-	Failed                                // final answer: the call failed
-	SecondAnswer                          // a further final answer; Body names its kind
-	Unanswered                            // the caller's time limit passed without an answer
-	Broken                                // the connection ended before an answer
-	Ended                                 // an established call was released
-	ServerSetup                           // a complete set-up arrived at a server
-	ServerAnswered                        // the server accepted the set-up
-	ServerFull                            // the server rejected the set-up because its queue was too long
-	ServerGivenUp                         // the set-up was abandoned by CANCEL or the end of its connection
-	ServerCut                             // the server was killed while the set-up or call was open
-	LateAnswer                            // the first answer to an attempt already reported as Unanswered; Body names its type
+	Tried              ObservationKind = iota // a set-up was written to a gatekeeper; Span is the time that the caller allows
+	Unsent                                    // no gatekeeper was available
+	Established                               // final answer: the call is established; Body is its session description
+	Refused                                   // final answer: the gatekeeper refused the call
+	Failed                                    // final answer: the call failed
+	SecondAnswer                              // a further final answer; Body names its kind
+	Unanswered                                // the caller's time limit passed without an answer
+	Broken                                    // the connection ended before an answer
+	Ended                                     // an established call was released
+	ServerSetup                               // a complete set-up arrived at a server
+	ServerAnswered                            // the server accepted the set-up
+	ServerFull                                // the server rejected the set-up because its queue was too long
+	ServerGivenUp                             // the set-up was abandoned by CANCEL or the end of its connection
+	ServerCut                                 // the server was killed while the set-up or call was open
+	LateAnswer                                // the first answer to an attempt already reported as Unanswered; Body names its type
+	GaveUp                                    // the caller cancelled the set-up before its answer
+	ServerReleased                            // the server wrote the release of an established call
+	ServerHeardRelease                        // the server read the release of an established call
 	observationKinds
 )
 
 var observationNames = [observationKinds]string{"tried", "unsent", "stood", "refused", "failed", "second answer", "unanswered", "broken", "ended",
-	"setup", "answered", "full", "given up", "cut", "late answer"}
+	"setup", "answered", "full", "given up", "cut", "late answer",
+	"gave up", "released", "heard release"}
 
 // String returns the name of the kind in the record of a run.
 func (k ObservationKind) String() string { return observationNames[k] }
@@ -43,7 +47,8 @@
 	At         time.Time
 	Kind       ObservationKind
 	Call       string
-	Gatekeeper int // index among the callers' gatekeepers, -1 if the observation concerns none
+	Gatekeeper int    // index among the callers' gatekeepers, -1 if the observation concerns none
+	Peer       string // peer of a server that the observation concerns, if its listener identifies it
 	Class      string
 	Span       time.Duration
 	Body       string
@@ -65,6 +70,7 @@
 	Length      time.Duration
 	FirstTarget func(*rand.Rand) (home, dest int) // chooses the gatekeeper and the first-choice cell of a first call
 	RetryTarget func(*rand.Rand) int              // chooses the gatekeeper of a retry, -1 for the next one
+	GiveUpShare float64                           // fraction of attempts that the caller cancels within maxGiveUpDelay
 	Key         func(*rand.Rand) string           // chooses the number of a first call, "" for a random one; nil: always random
 	Observer    func(Observation)                 // receives each observation; runs with a lock held and must not call Callers
 }
@@ -78,7 +84,7 @@
 	load := newWorkload(Overload{Seed: o.Seed, Gatekeepers: o.Gatekeepers, Servers: o.Servers, Length: o.Length,
 		Load: o.PerS / work.Capacity() / float64(o.Servers)})
 	load.retryTarget, load.retryRand = o.RetryTarget, rand.New(rand.NewPCG(o.Seed, 3))
-	load.key = o.Key
+	load.key, load.giveUpShare, load.giveUpRand = o.Key, o.GiveUpShare, rand.New(rand.NewPCG(o.Seed, 4))
 	load.firstTarget, load.observer, load.finalAnswers = o.FirstTarget, o.Observer, map[string]ObservationKind{}
 	for range o.Gatekeepers {
 		load.conns = append(load.conns, &gatekeeperConn{})
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -70,6 +70,7 @@
 	callerTimeout  = 9 * time.Second
 	attemptTimeout = 3200 * time.Millisecond
 	maxRetries     = 3
+	maxGiveUpDelay = 300 * time.Millisecond // from a set-up to its cancellation by a caller that gives up early
 	lateWorth      = 0.25
 )
 
@@ -168,6 +169,8 @@
 	retryTarget  func(*rand.Rand) int              // chooses the gatekeeper of a retry, -1 for the next one; nil: always the next
 	key          func(*rand.Rand) string           // chooses the number of a first call, "" for a random one; nil: always random
 	retryRand    *rand.Rand                        // random source of retryTarget
+	giveUpShare  float64                           // fraction of attempts that are cancelled
+	giveUpRand   *rand.Rand                        // random source of giveUpShare; nil: nobody gives up
 	observer     func(Observation)                 // receives observations; may be nil
 	finalAnswers map[string]ObservationKind        // final answers of finished attempts, used only if observer is set
 	expired      map[string]int                    // gatekeeper of each attempt that timed out, until its late answer arrives
@@ -371,6 +374,7 @@
 			w.mu.Unlock()
 			target.mu.Unlock()
 			target.write(conn, m.Append(nil))
+			w.mayGiveUp(id, attempt, target)
 			return
 		}
 		target.mu.Unlock()
@@ -380,6 +384,29 @@
 	w.mu.Unlock()
 }
 
+// mayGiveUp cancels a share of the attempts a moment after they were sent, if they are unanswered by then.
+func (w *workload) mayGiveUp(id string, attempt *setupAttempt, target *gatekeeperConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.giveUpRand == nil || w.giveUpRand.Float64() >= w.giveUpShare {
+		return
+	}
+	time.AfterFunc(time.Duration(w.giveUpRand.Int64N(int64(maxGiveUpDelay))), func() {
+		w.mu.Lock()
+		waiting := w.calls[id] == attempt && !attempt.established
+		if waiting {
+			attempt.over.Stop()
+			delete(w.calls, id)
+			w.observe(Observation{Kind: GaveUp, Call: id, Gatekeeper: attempt.gatekeeper})
+		}
+		w.mu.Unlock()
+		if waiting {
+			m := jsonl.Message{Type: "close", ID: id, Code: 16}
+			target.write(attempt.conn, m.Append(nil))
+		}
+	})
+}
+
 // scheduleRetry retries after a delay, unless the caller has used up its retries or its time. The caller must hold the lock.
 func (w *workload) scheduleRetry(c *caller, wait time.Duration) {
 	if wait <= 0 {
@@ -417,21 +444,26 @@
 		if intercept != nil && intercept(m) {
 			continue
 		}
-		w.handle(m)
+		if w.handle(m) {
+			confirmation := jsonl.Message{Type: "closed", ID: m.ID}
+			conn.SetWriteDeadline(time.Now().Add(time.Second))
+			conn.Write(confirmation.Append(nil))
+		}
 	}
 }
 
-// handle processes one message of a gatekeeper.
-func (w *workload) handle(m jsonl.Message) {
+// handle processes one message of a gatekeeper and reports whether it is a release, which a caller confirms.
+func (w *workload) handle(m jsonl.Message) (isRelease bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	isRelease = m.Type == "close" && (w.calls[m.ID] == nil || w.calls[m.ID].established)
 	attempt := w.calls[m.ID]
 	if attempt == nil {
 		w.handleLateAnswer(m)
 		if _, over := w.finalAnswers[m.ID]; over && m.Type == "ready" || over && m.Type == "close" && w.finalAnswers[m.ID] != Established {
 			w.observe(Observation{Kind: SecondAnswer, Call: m.ID, Gatekeeper: -1, Body: m.Type})
 		}
-		return
+		return isRelease
 	}
 	switch {
 	case m.Type == "ready" && attempt.established:
@@ -456,7 +488,7 @@
 		attempt.over.Stop()
 		if attempt.established {
 			w.observe(Observation{Kind: Ended, Call: m.ID, Gatekeeper: attempt.gatekeeper})
-			return
+			return isRelease
 		}
 		if m.Code == 34 {
 			w.outcome.Refused++
@@ -468,6 +500,7 @@
 		wait, _ := strconv.Atoi(m.Attrs["wait"])
 		w.scheduleRetry(attempt.caller, time.Duration(wait)*time.Millisecond)
 	}
+	return isRelease
 }
 
 // handleLateAnswer reports the first answer to an attempt that the caller had already given up. The caller must hold the lock.
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -59,9 +59,11 @@
 	turnedAway     int             // set-ups rejected because the queue was too long
 	callIDs        map[string]bool // call IDs of all set-ups
 
+	vanished     bool    // the machine is lost: nothing is done any more
 	busyNumber   string  // number whose lines are all busy, "" for none
 	hanging      bool    // set-ups are accepted and never answered
 	failureRate  float64 // fraction of set-ups that fail
+	spoiledShare float64 // fraction of answers that are spoiled
 	hung, failed int     // set-ups that were left unanswered, and that failed by injected faults
 }
 
@@ -77,12 +79,15 @@
 
 // write queues a message. It never blocks: it closes the connection if its queue is full. The caller must hold the server's
 // lock.
-func (l *serverConn) write(m *sip.Message) {
+func (l *serverConn) write(m *sip.Message) { l.writeBytes(m.Append(nil)) }
+
+// writeBytes is write for bytes that need not be a message.
+func (l *serverConn) writeBytes(data []byte) {
 	if l.closed {
 		return
 	}
 	select {
-	case l.outgoing <- m.Append(nil):
+	case l.outgoing <- data:
 	default:
 		l.conn.Close()
 	}
@@ -144,9 +149,12 @@
 }
 
 // observe reports an observation. The caller must hold the lock.
-func (s *Server) observe(kind ObservationKind, call string) {
+func (s *Server) observe(kind ObservationKind, call string) { s.observePeer(kind, call, "") }
+
+// observePeer reports an observation that concerns a peer. The caller must hold the lock.
+func (s *Server) observePeer(kind ObservationKind, call, peer string) {
 	if s.observer != nil {
-		s.observer(Observation{At: time.Now(), Kind: kind, Call: call})
+		s.observer(Observation{At: time.Now(), Kind: kind, Call: call, Peer: peer})
 	}
 }
 
@@ -219,6 +227,19 @@
 	}
 }
 
+// Vanish ends the server as the loss of its machine would: it drops all calls and does nothing more. Its connections stay open and
+// silent; whether new ones come up is up to the network.
+func (s *Server) Vanish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vanished = true
+	for id, call := range s.calls {
+		call.ended = true
+		s.observe(ServerCut, id)
+	}
+	s.calls = map[string]*serverCall{}
+}
+
 // SetBusyNumber makes the server answer calls to a number as busy; "" ends this.
 func (s *Server) SetBusyNumber(number string) {
 	s.mu.Lock()
@@ -241,6 +262,39 @@
 	s.mu.Unlock()
 }
 
+// SetSpoiledShare sets the fraction of answers that are spoiled: broken off in the middle, not readable, or followed by a second one.
+func (s *Server) SetSpoiledShare(share float64) {
+	s.mu.Lock()
+	s.spoiledShare = share
+	s.mu.Unlock()
+}
+
+// secondAnswerDelay is the time from an answer to a second one for the same set-up.
+const secondAnswerDelay = 5 * time.Millisecond
+
+// spoil spoils the answer to a set-up. It reports whether the call stands all the same, because the answer is whole and comes first.
+// The caller must hold the lock.
+func (s *Server) spoil(connection *serverConn, response *sip.Message) (stands bool) {
+	whole := response.Append(nil)
+	switch s.rng.IntN(3) {
+	case 0:
+		connection.writeBytes(whole[:len(whole)/2])
+		time.AfterFunc(secondAnswerDelay, func() { connection.conn.Close() })
+		return false
+	case 1:
+		connection.writeBytes(append([]byte("SIP/2.0 twohundred "), whole...))
+		return false
+	}
+	second := *response
+	second.Body = []byte("a second answer")
+	time.AfterFunc(secondAnswerDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		connection.write(&second)
+	})
+	return true
+}
+
 func (s *Server) closeListeners() {
 	s.listener.Close()
 	for _, listener := range s.peerListeners {
@@ -311,7 +365,6 @@
 	for _, m := range s.pendingReleases[connection.peer] {
 		connection.write(m)
 	}
-	delete(s.pendingReleases, connection.peer)
 }
 
 // removeConnection removes a closed connection. Set-ups open on it count as given up; established calls continue.
@@ -330,8 +383,9 @@
 }
 
 // release sends the end of an established call on the connection of its set-up, or else on another connection of that peer,
-// or else on the peer's next one.
+// and also on the peer's next one, unless it is confirmed by then.
 func (s *Server) release(preferred *serverConn, m *sip.Message) {
+	s.pendingReleases[preferred.peer] = append(s.pendingReleases[preferred.peer], m)
 	if !preferred.closed {
 		preferred.write(m)
 		return
@@ -342,14 +396,28 @@
 			return
 		}
 	}
-	s.pendingReleases[preferred.peer] = append(s.pendingReleases[preferred.peer], m)
+}
+
+// confirmRelease removes a release that the peer has confirmed from those that its next connection brings.
+func (s *Server) confirmRelease(m *sip.Message, connection *serverConn) {
+	if _, method, _ := m.CSeq(); method == "BYE" {
+		s.pendingReleases[connection.peer] = slices.DeleteFunc(s.pendingReleases[connection.peer],
+			func(release *sip.Message) bool { return release.Get("Call-ID") == m.Get("Call-ID") })
+	}
 }
 
 // handle processes one message of a peer: a set-up, its cancellation or the release of a call.
 func (s *Server) handle(m *sip.Message, connection *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.vanished {
+		return
+	}
 	id := m.Get("Call-ID")
+	if m.Status != 0 {
+		s.confirmRelease(m, connection)
+		return
+	}
 	call := s.calls[id]
 	switch m.Method {
 	case "INVITE":
@@ -357,7 +425,7 @@
 		s.callIDs[id] = true
 		call = &serverCall{setupConn: connection, invite: m}
 		s.calls[id] = call
-		s.observe(ServerSetup, id)
+		s.observePeer(ServerSetup, id, connection.peer)
 		if s.hanging {
 			s.hung++
 			return
@@ -398,9 +466,13 @@
 			}
 			call.ended = true
 			if call.established {
+				s.observe(ServerHeardRelease, id)
 				s.forget(id, call)
 			}
 		}
+		if m.Method == "BYE" {
+			connection.write(s.reply(m, 200))
+		}
 	}
 }
 
@@ -439,14 +511,21 @@
 
 // answer accepts a set-up, unless it was given up meanwhile, and releases the call after a random holding time.
 func (s *Server) answer(id string, call *serverCall) {
+	if s.vanished {
+		return
+	}
 	if call.ended {
 		s.wasted++
 		s.forget(id, call)
 		return
 	}
-	call.established = true
 	response := s.reply(call.invite, 200)
 	response.Body = fmt.Appendf(nil, "stands %s\r\n", id)
+	if s.spoiledShare > 0 && s.rng.Float64() < s.spoiledShare && !s.spoil(call.setupConn, response) {
+		s.forget(id, call)
+		return
+	}
+	call.established = true
 	s.observe(ServerAnswered, id)
 	call.setupConn.write(response)
 	hold := time.Duration(s.rng.ExpFloat64() * float64(8*time.Second))
@@ -458,6 +537,7 @@
 				return
 			}
 			s.forget(id, call)
+			s.observe(ServerReleased, id)
 			s.release(call.setupConn, sip.Request("BYE", "sip:peer").Set("Via", call.invite.Get("Via")).Set("Call-ID", id).Set("CSeq", "2 BYE").
 				Set("Reason", "Q.850;cause=16").Set("X-Occupancy", s.report()))
 		})
