Names of the new checks and comments in the standard terms of the field

fleetcheck.EstablishedCalls and DelistedServers, callFixture of the process tests; comments reworded.

--- a/cmd/beammux/standing_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -20,7 +20,7 @@
 	"beammux/internal/relay"
 )
 
-// Limits of the protocol for a call that has stood and is over: 1 s after the server's release was written, 8 s after its end
+// Limits of the protocol for an established call that is over: 1 s after the server's release was written, 8 s after its end
 // where nothing could be sent; 50 ms more on sockets.
 const (
 	releaseLimit = time.Second + 50*time.Millisecond
@@ -208,8 +208,8 @@
 	clientsName    = "clients"
 )
 
-// standingCalls is a gatekeeper process with one menu server and a faulty network on both of its sides.
-type standingCalls struct {
+// callFixture is a gatekeeper process with one menu server and a faulty network on both of its sides.
+type callFixture struct {
 	network *relay.Network
 	server  *menuServer
 	process *os.Process
@@ -217,9 +217,9 @@
 	direct  string // its own address
 }
 
-func startStandingCalls(t *testing.T, reportInterval time.Duration) *standingCalls {
+func startCallFixture(t *testing.T, reportInterval time.Duration) *callFixture {
 	t.Helper()
-	s := &standingCalls{network: relay.New(1), server: startMenuServer(t, reportInterval)}
+	s := &callFixture{network: relay.New(1), server: startMenuServer(t, reportInterval)}
 	t.Cleanup(s.network.Close)
 	toServer, err := s.network.TCP(gatekeeperName, serverName, "")
 	require.NoError(t, err)
@@ -243,7 +243,7 @@
 	return s
 }
 
-// silence is how a server stops being heard.
+// silence is a way in which a server sends nothing more.
 type silence struct {
 	name string
 	mode relay.Mode
@@ -254,12 +254,12 @@
 var silences = []silence{{"lost machine", relay.Lost}, {"hung process", relay.BlackHole}}
 
 // silenceServer makes the server silent towards the gatekeeper. Open connections stay open.
-func (s *standingCalls) silenceServer(kind silence) {
+func (s *callFixture) silenceServer(kind silence) {
 	s.network.SetMode(gatekeeperName, serverName, kind.mode)
 }
 
 // restoreServer ends the silence.
-func (s *standingCalls) restoreServer() { s.network.SetMode(gatekeeperName, serverName, relay.Open) }
+func (s *callFixture) restoreServer() { s.network.SetMode(gatekeeperName, serverName, relay.Open) }
 
 // callIDs returns n call ids.
 func callIDs(n int) (ids []string) {
@@ -269,8 +269,8 @@
 	return ids
 }
 
-// Guards against calls left standing at a server that falls silent: callers must read the release within 8 s whatever the
-// interval of its reports, and however young its connections are.
+// Guards against calls left standing at a server that falls silent: callers must read the release within 8 s for any
+// interval of its reports and any age of its connections.
 func TestSilentServerLeavesNoCallStanding(t *testing.T) {
 	for _, c := range []struct {
 		name           string
@@ -285,7 +285,7 @@
 		for _, kind := range silences {
 			t.Run(c.name+", "+kind.name, func(t *testing.T) {
 				t.Parallel()
-				s := startStandingCalls(t, c.reportInterval)
+				s := startCallFixture(t, c.reportInterval)
 				client := dialCaller(t, s.addr)
 				began := time.Now()
 				ids := callIDs(5)
@@ -305,7 +305,7 @@
 	for _, kind := range silences {
 		t.Run(kind.name, func(t *testing.T) {
 			t.Parallel()
-			s := startStandingCalls(t, 500*time.Millisecond)
+			s := startCallFixture(t, 500*time.Millisecond)
 			client := dialCaller(t, s.addr)
 			ids := callIDs(3)
 			for _, id := range ids {
@@ -326,7 +326,7 @@
 // Guards against a release that goes to a connection that is none of a caller's: a health check, or a client that sends
 // nothing, is connected last when the connection of the call has ended.
 func TestReleaseReachesACallerAndNoOtherClient(t *testing.T) {
-	s := startStandingCalls(t, 500*time.Millisecond)
+	s := startCallFixture(t, 500*time.Millisecond)
 	first, second := dialCaller(t, s.addr), dialCaller(t, s.addr)
 	ids := callIDs(2)
 	second.establish(t, ids[1])
@@ -349,7 +349,7 @@
 
 // Guards against a release that waits for a connection and is taken by a health check, which comes first.
 func TestWaitingReleaseIsNotTakenByAHealthCheck(t *testing.T) {
-	s := startStandingCalls(t, 500*time.Millisecond)
+	s := startCallFixture(t, 500*time.Millisecond)
 	first := dialCaller(t, s.addr)
 	ids := callIDs(2)
 	first.establish(t, ids[0])
@@ -371,7 +371,7 @@
 // Guards against a release that is written on a connection which never delivers it: the network between the caller and the
 // gatekeeper is cut, then the connection is reset.
 func TestReleaseIsSentAgainWhereItWasNotConfirmed(t *testing.T) {
-	s := startStandingCalls(t, 500*time.Millisecond)
+	s := startCallFixture(t, 500*time.Millisecond)
 	first := dialCaller(t, s.addr)
 	ids := callIDs(2)
 	first.establish(t, ids[0])
--- a/control/liveness/liveness_test.go
+++ b/control/liveness/liveness_test.go
@@ -14,7 +14,7 @@
 // endLimit is the time in which the calls of a vanished server must be released.
 const endLimit = 8 * second
 
-// Guards against a silent server that is detected too late: whatever the intervals of its messages were, it is suspected and
+// Guards against a silent server that is detected too late: for any intervals of its messages it is suspected and
 // then lost in time, and lost only once.
 func TestSilenceIsDetectedInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -46,7 +46,7 @@
 	})
 }
 
-// Guards against a server that is taken for lost after this process stood still: what it sent meanwhile is still unread.
+// Guards against a server that is taken for lost after this process was stalled: what it sent meanwhile is still unread.
 func TestStallOfTheProcessIsNoSilence(t *testing.T) {
 	var d Detector
 	d.Heard(0)
--- a/internal/fleetcheck/standing.go
+++ b/internal/fleetcheck/established.go
@@ -8,8 +8,8 @@
 	"beammux/control"
 )
 
-// RuleStanding is that an established call which is over is released to its caller in time.
-const RuleStanding = "a call that is over is released to its caller"
+// RuleReleased is that an established call which is over is released to its caller in time.
+const RuleReleased = "a call that is over is released to its caller"
 
 // Limits of the protocol ("The rules on sockets") for the release of an established call that is over, with the slack of AnswerSlack.
 const (
@@ -17,13 +17,13 @@
 	afterLoss    = control.Micros(8_000_000) + AnswerSlack // from an end of which no release could be sent
 )
 
-// Standing checks RuleStanding from what callers and servers saw. A release is owed by a gatekeeper that runs and can be reached by its
+// EstablishedCalls checks RuleReleased from what callers and servers saw. A release is due from a gatekeeper that runs and can be reached by its
 // callers. Faults between gatekeepers and servers excuse no missing release: while they last, and where the gatekeeper was started
 // since, the release is due later.
-type Standing struct {
+type EstablishedCalls struct {
 	callerPrefix string
 	now          control.Micros
-	calls        map[string]*standingCall
+	calls        map[string]*establishedCall
 	down         faultSpans // by gatekeeper: not ready
 	paused       faultSpans // by gatekeeper
 	links        linkSpans
@@ -32,8 +32,8 @@
 	answeredBy   map[string]string // last server that answered a call
 }
 
-// standingCall is a call that was established for its caller.
-type standingCall struct {
+// establishedCall is a call that was established for its caller.
+type establishedCall struct {
 	id, gatekeeper, server string
 	place                  Place
 	establishedAt          control.Micros
@@ -42,17 +42,17 @@
 	serverLostAt           control.Micros // 0: not
 }
 
-// NewStanding returns the invariant. The names of the callers' processes, and of no others, begin with callerPrefix.
-func NewStanding(callerPrefix string) *Standing {
-	return &Standing{callerPrefix: callerPrefix, calls: map[string]*standingCall{}, down: faultSpans{}, paused: faultSpans{},
+// NewEstablishedCalls returns the invariant. The names of the callers' processes, and of no others, begin with callerPrefix.
+func NewEstablishedCalls(callerPrefix string) *EstablishedCalls {
+	return &EstablishedCalls{callerPrefix: callerPrefix, calls: map[string]*establishedCall{}, down: faultSpans{}, paused: faultSpans{},
 		links: newLinkSpans(), removedAt: map[string]control.Micros{}, started: map[string][]control.Micros{}, answeredBy: map[string]string{}}
 }
 
 // Rule implements Invariant.
-func (s *Standing) Rule() string { return RuleStanding }
+func (s *EstablishedCalls) Rule() string { return RuleReleased }
 
 // Event implements Invariant.
-func (s *Standing) Event(e *Event, _ func(Evidence)) {
+func (s *EstablishedCalls) Event(e *Event, _ func(Evidence)) {
 	s.now = max(s.now, e.At)
 	call := s.calls[e.Call]
 	switch e.Kind {
@@ -75,7 +75,7 @@
 	case ServerEstablished:
 		s.answeredBy[e.Call] = e.Process
 	case Established:
-		s.calls[e.Call] = &standingCall{id: e.Call, gatekeeper: e.Process, server: s.answeredBy[e.Call], place: e.Place, establishedAt: e.At}
+		s.calls[e.Call] = &establishedCall{id: e.Call, gatekeeper: e.Process, server: s.answeredBy[e.Call], place: e.Place, establishedAt: e.At}
 	}
 	if call == nil {
 		return
@@ -97,7 +97,7 @@
 }
 
 // End implements Invariant.
-func (s *Standing) End(report func(Evidence)) {
+func (s *EstablishedCalls) End(report func(Evidence)) {
 	for _, call := range s.calls {
 		due, why := s.due(call)
 		if due == 0 || s.excused(call, due) {
@@ -112,16 +112,16 @@
 	}
 }
 
-func (s *Standing) evidence(call *standingCall, what string) Evidence {
+func (s *EstablishedCalls) evidence(call *establishedCall, what string) Evidence {
 	return Evidence{At: call.establishedAt, Process: call.gatekeeper, Call: call.id, Place: call.place.String(),
 		What: fmt.Sprintf("established at %d ms, %s", call.establishedAt/1000, what)}
 }
 
 // due returns by when the caller must have read the release of a call, and why; 0 if the call is not over.
-func (s *Standing) due(call *standingCall) (due control.Micros, why string) {
+func (s *EstablishedCalls) due(call *establishedCall) (due control.Micros, why string) {
 	switch {
 	case call.serverReleasedAt > 0 && s.startedSince(call, call.establishedAt) && s.removedBetween(call.server, call.establishedAt, call.serverReleasedAt):
-		// The gatekeeper does not know the call, and has no connection to the server: none is owed for what an earlier process held.
+		// The gatekeeper does not know the call, which an earlier process set up, and has no connection to the server.
 	case call.serverReleasedAt > 0:
 		why = fmt.Sprintf("released by %s at %d ms", call.server, call.serverReleasedAt/1000)
 		link := linkName(call.gatekeeper, call.server)
@@ -138,18 +138,18 @@
 }
 
 // startedSince reports whether a call's gatekeeper was started again after a time: the new process does not know the call.
-func (s *Standing) startedSince(call *standingCall, at control.Micros) bool {
+func (s *EstablishedCalls) startedSince(call *establishedCall, at control.Micros) bool {
 	return s.lastStart(call) > at || s.down.during(call.gatekeeper, at, s.now)
 }
 
 // removedBetween reports whether the list removed a server between two times.
-func (s *Standing) removedBetween(server string, from, to control.Micros) bool {
+func (s *EstablishedCalls) removedBetween(server string, from, to control.Micros) bool {
 	at := s.removedAt[server]
 	return from < at && at < to
 }
 
 // lastStart returns when the call's gatekeeper was last ready.
-func (s *Standing) lastStart(call *standingCall) (at control.Micros) {
+func (s *EstablishedCalls) lastStart(call *establishedCall) (at control.Micros) {
 	for _, ready := range s.started[call.gatekeeper] {
 		at = max(at, ready)
 	}
@@ -157,7 +157,7 @@
 }
 
 // excused reports whether a call's gatekeeper could not send its release to its callers by a time.
-func (s *Standing) excused(call *standingCall, due control.Micros) bool {
+func (s *EstablishedCalls) excused(call *establishedCall, due control.Micros) bool {
 	from := max(call.serverReleasedAt, call.serverLostAt)
 	if s.down.during(call.gatekeeper, from, due) || s.paused.during(call.gatekeeper, from, due) {
 		return true
--- a/internal/fleetcheck/standing_test.go
+++ b/internal/fleetcheck/established_test.go
@@ -27,11 +27,11 @@
 	return found
 }
 
-// The start of each case: gatekeeper g1 is ready, and call c stands at s1 through it.
+// The start of each case: gatekeeper g1 is ready, and call c is established at s1 through it.
 var established = []Event{timed(0, Event{Kind: Ready, Process: "g1"}), timed(100, Event{Kind: ServerEstablished, Process: "s1", Call: "c"}),
 	timed(110, Event{Kind: Established, Process: "g1", Call: "c"})}
 
-func TestStandingCalls(t *testing.T) {
+func TestEstablishedCalls(t *testing.T) {
 	lost := func(n int) Event { return timed(n, Event{Kind: ServerLost, Process: "s1", Call: "c"}) }
 	released := func(n int) Event { return timed(n, Event{Kind: ServerReleased, Process: "s1", Call: "c"}) }
 	read := func(n int) Event { return timed(n, Event{Kind: Released, Process: "g1", Call: "c"}) }
@@ -63,11 +63,11 @@
 		{"gatekeeper killed", []Event{released(1000), timed(1100, Event{Kind: Stopped, Process: "g1"})}, false},
 	} {
 		events := append(append(append([]Event(nil), established...), c.events...), end)
-		require.Equal(t, c.broken, len(judgeEvents(NewStanding("front"), events...)) > 0, c.name)
+		require.Equal(t, c.broken, len(judgeEvents(NewEstablishedCalls("front"), events...)) > 0, c.name)
 	}
 }
 
-func TestToldServers(t *testing.T) {
+func TestDelistedServers(t *testing.T) {
 	setup := func(n int) Event { return timed(n, Event{Kind: ServerSetup, Process: "s1", Peer: "g1", Call: "c"}) }
 	listed := func(n int, state string) Event { return timed(n, Event{Kind: Listed, Process: "s1", What: state}) }
 	bus := func(n int, kind Kind) Event { return timed(n, Event{Kind: kind, Process: "g1", Peer: "bus"}) }
@@ -86,6 +86,6 @@
 		{"over 6 s after discovery is back", []Event{bus(100, LinkFaulty), bus(900, LinkHealed), listed(1000, "removed"), setup(7401)}, true},
 	} {
 		events := append([]Event{timed(0, Event{Kind: Ready, Process: "g1"})}, c.events...)
-		require.Equal(t, c.broken, len(judgeEvents(NewTold("bus"), events...)) > 0, c.name)
+		require.Equal(t, c.broken, len(judgeEvents(NewDelistedServers("bus"), events...)) > 0, c.name)
 	}
 }
--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -93,7 +93,7 @@
 	if limit != nil {
 		invariants = append(invariants, limit)
 	}
-	invariants = append(invariants, fleetcheck.NewStanding(script.Front), fleetcheck.NewTold(script.Bus))
+	invariants = append(invariants, fleetcheck.NewEstablishedCalls(script.Front), fleetcheck.NewDelistedServers(script.Bus))
 	checker := fleetcheck.New(script.Front, capacities, invariants...)
 	events, err := readEvents(dir, s)
 	if err != nil {
--- a/internal/fleetlab/soak/draw.go
+++ b/internal/fleetlab/soak/draw.go
@@ -1,4 +1,4 @@
-// Package soak plays short, dense trials of the fleet laboratory, one for each seed: a handful of gatekeepers with one to three
+// Package soak runs short, dense trials of the fleet laboratory, one for each seed: a handful of gatekeepers with one to three
 // faults at a time, the next within a second or two of the last. A trial is a script of package script, drawn from its seed.
 package soak
 
--- a/internal/fleetlab/soak/soak.go
+++ b/internal/fleetlab/soak/soak.go
@@ -44,7 +44,7 @@
 	Broken      []Broken `json:"broken,omitempty"`
 	Excused     int      `json:"excused"`
 	DelayMs     int64    `json:"longest_wait_for_processor_ms"`
-	Failed      string   `json:"failed,omitempty"` // why the trial could not be played
+	Failed      string   `json:"failed,omitempty"` // why the trial could not be run
 }
 
 // Broken is a rule that a trial broke.
@@ -54,13 +54,13 @@
 	First string `json:"first"` // evidence
 }
 
-// Held reports whether the trial was played and broke no rule.
+// Held reports whether the trial was run and broke no rule.
 func (t *Trial) Held() bool { return len(t.Broken) == 0 && t.Failed == "" }
 
 // summaryFile is the file of a soak's results in its folder.
 const summaryFile = "summary.json"
 
-// Run plays the trials and writes their results. It ends early, with the trials played so far, if ctx is cancelled.
+// Run runs the trials and writes their results. It ends early, with the trials finished so far, if ctx is cancelled.
 func Run(ctx context.Context, o Options) ([]Trial, error) {
 	var mu sync.Mutex
 	var trials []Trial
@@ -94,13 +94,13 @@
 	return trials, err
 }
 
-// Play plays one trial in a new folder.
+// Play runs one trial in a new folder.
 func Play(ctx context.Context, program fleetlab.Program, dir string, s *script.Script) Trial {
 	t := Trial{Seed: s.Seed, Gatekeepers: s.Gatekeepers, Servers: s.Servers}
 	for _, f := range s.Faults {
 		t.Faults = append(t.Faults, f.Name())
 	}
-	// The script is parsed from its file form, so that a replay plays the same.
+	// The script is parsed from its file form, so that a replay runs the same.
 	s, err := script.Parse("trial", s.Marshal())
 	if err == nil {
 		err = os.MkdirAll(dir, 0o755)
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -170,7 +170,7 @@
 	key          func(*rand.Rand) string           // chooses the number of a first call, "" for a random one; nil: always random
 	retryRand    *rand.Rand                        // random source of retryTarget
 	giveUpShare  float64                           // fraction of attempts that are cancelled
-	giveUpRand   *rand.Rand                        // random source of giveUpShare; nil: nobody gives up
+	giveUpRand   *rand.Rand                        // random source of giveUpShare; nil: no caller gives up
 	observer     func(Observation)                 // receives observations; may be nil
 	finalAnswers map[string]ObservationKind        // final answers of finished attempts, used only if observer is set
 	expired      map[string]int                    // gatekeeper of each attempt that timed out, until its late answer arrives
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -272,7 +272,7 @@
 // secondAnswerDelay is the time from an answer to a second one for the same set-up.
 const secondAnswerDelay = 5 * time.Millisecond
 
-// spoil spoils the answer to a set-up. It reports whether the call stands all the same, because the answer is whole and comes first.
+// spoil spoils the answer to a set-up. It reports whether the call is established, because a whole answer comes first.
 // The caller must hold the lock.
 func (s *Server) spoil(connection *serverConn, response *sip.Message) (stands bool) {
 	whole := response.Append(nil)
@@ -398,7 +398,7 @@
 	}
 }
 
-// confirmRelease removes a release that the peer has confirmed from those that its next connection brings.
+// confirmRelease removes a release that the peer has confirmed from those that are sent on its next connection.
 func (s *Server) confirmRelease(m *sip.Message, connection *serverConn) {
 	if _, method, _ := m.CSeq(); method == "BYE" {
 		s.pendingReleases[connection.peer] = slices.DeleteFunc(s.pendingReleases[connection.peer],
--- a/internal/protocol/bus/bus_test.go
+++ b/internal/protocol/bus/bus_test.go
@@ -270,7 +270,7 @@
 	return took, tries
 }
 
-// Guards against an event that is never taken because its line comes slowly: each reconnect began it anew. It must be known 6 s after
+// Guards against an event that is never taken because its line comes slowly: each reconnect started it again. It must be known 6 s after
 // discovery had it and could be reached.
 func TestTricklingEventIsTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -282,7 +282,7 @@
 	})
 }
 
-// Guards against a connection on which nothing but a byte now and then arrives and that is kept for ever.
+// Guards against a connection on which nothing but a byte now and then arrives and that is never closed.
 func TestEndlessLineEndsTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		took, tries := tricklingBus(t, 1, time.Second)
--- a/internal/protocol/jsonl/endings_test.go
+++ b/internal/protocol/jsonl/endings_test.go
@@ -131,7 +131,7 @@
 	})
 }
 
-// Guards against a burst that is refused as excess although the core keeps up with it, whatever its length. The time is virtual: on a
+// Guards against a burst that is refused as excess although the core keeps up with it. The time is virtual: on a
 // busy machine the core may get no processor for as long as it is given.
 func TestBurstIsNotExcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/standing_test.go
+++ b/internal/routing/established_test.go
@@ -34,13 +34,13 @@
 				h.sleep(time.Second)
 				require.Equal(t, 1, caller.finalAnswers)
 				require.True(t, caller.established)
-				require.Equal(t, 1, caller.releases, "the call stands at a server that is lost")
+				require.Equal(t, 1, caller.releases, "the call is open at a server that is lost")
 			})
 		})
 	}
 }
 
-// Guards against the end of a call by a server at which it does not stand: the server's answer to an earlier attempt was lost, the
+// Guards against the end of a call by a server at which it is not established: the server's answer to an earlier attempt was lost, the
 // call was established elsewhere, and then the first server ends what it holds.
 func TestReleaseByAnEarlierAttemptsServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -59,14 +59,14 @@
 		require.True(t, caller.established)
 		first.events.Released("1", CauseNormal, nil)
 		synctest.Wait()
-		require.Zero(t, caller.releases, "the call stands at the second server")
+		require.Zero(t, caller.releases, "the call is established at the second server")
 		second.events.Released("1", CauseNormal, nil)
 		synctest.Wait()
 		require.Equal(t, 1, caller.releases)
 	})
 }
 
-// Guards against a call that stands at a server for nobody: its answer arrives just as its connection is given up, and the caller
+// Guards against a call that stays open at a server without a caller: its answer arrives just as its connection is given up, and the caller
 // has another final answer.
 func TestAnswerOnAConnectionThatWasGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -83,7 +83,7 @@
 		server.dialError = nil
 		h.sleep(2 * time.Second)
 		if !caller.established {
-			require.Equal(t, 1, server.releasesReceived["1"], "the server holds a call that nobody releases")
+			require.Equal(t, 1, server.releasesReceived["1"], "the server holds a call that was never released")
 		}
 	})
 }
@@ -101,7 +101,7 @@
 		require.True(t, caller.established)
 		server.events.ReleaseLost("1", CauseNormal)
 		synctest.Wait()
-		require.Zero(t, server.releasesReceived["1"], "the call stands")
+		require.Zero(t, server.releasesReceived["1"], "the call is established")
 		h.core.Hangup("1", CauseNormal, nil, nil)
 		synctest.Wait()
 		require.Equal(t, 1, server.releasesReceived["1"])
@@ -114,7 +114,7 @@
 }
 
 // Guards against a call left standing at a server whose answer was lost: the connection breaks under a set-up that was sent, the call
-// gets its answer elsewhere, and the first server holds it for nobody.
+// gets its answer elsewhere, and the first server holds it without a caller.
 func TestSetupCutWithItsConnectionIsReleased(t *testing.T) {
 	for _, cancelled := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
@@ -143,7 +143,7 @@
 	}
 }
 
-// Guards against calls left standing at a server that is removed from the list and still runs: it is told the end of those that this
+// Guards against calls left standing at a server that is removed from the list and still runs: it must read the release of those that this
 // process ends, and the callers that of those which it releases and which this process does not know.
 func TestRemovedServerExchangesReleases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -65,8 +65,8 @@
 	})
 }
 
-// heard records that the server has sent a message.
-func (c *peerConn) heard() {
+// noteMessage records that the server has sent a message.
+func (c *peerConn) noteMessage() {
 	p := c.peer
 	c.received = true
 	if !c.proven && c.conn != nil { // otherwise connected, which follows, proves it
@@ -86,7 +86,7 @@
 			p.core.Post(func() { p.core.lateAnswer(p, a.attemptRef) })
 			return
 		}
-		c.heard()
+		c.noteMessage()
 		c.forget(a.attemptRef)
 		p.core.Post(func() { p.core.answered(p, a.attemptRef, body) })
 	})
@@ -96,7 +96,7 @@
 func (c *peerConn) Failed(a Attempt, o Outcome) {
 	c.ifOpen(func(p *Peer) {
 		if o.Code != control.NotSent { // the server has answered
-			c.heard()
+			c.noteMessage()
 		}
 		c.forget(a.attemptRef)
 		p.core.Post(func() { p.core.failed(a.attemptRef, o) })
@@ -111,7 +111,7 @@
 			return
 		}
 		if !c.closed {
-			c.heard()
+			c.noteMessage()
 		}
 		p.core.Post(func() { p.core.released(p, id, cause, report) })
 	})
@@ -120,7 +120,7 @@
 // Report implements ServerEvents.
 func (c *peerConn) Report(report []float64) {
 	c.ifOpen(func(p *Peer) {
-		c.heard()
+		c.noteMessage()
 		p.core.Post(func() { p.core.status(p, report) })
 	})
 }
