Check a silent server by a new connection only after 2.5 usual intervals

Cause: a server was suspected after 1.5 of its usual intervals, so a single missing report opened a connection, and the checks did not wait for a dial that was scheduled. Change: 2.5 intervals (1.5 to 3 s), and no check before the next scheduled dial. Lost is still 6 s.

TestSilentServerLeavesNoCallStanding: released after 5.4 to 5.9 s in all 8 cases.

--- a/control/liveness/liveness.go
+++ b/control/liveness/liveness.go
@@ -14,7 +14,7 @@
 	lostAfter       control.Micros = 6_000_000 // the server is lost
 	minSuspectAfter control.Micros = 1_500_000 // bounds of the silence after which the server is suspected
 	maxSuspectAfter control.Micros = 3_000_000 // it leaves time for several checks before the server is lost
-	suspectGaps                    = 1.5       // silence, as a multiple of the longest recent gap, after which it is suspected
+	suspectGaps                    = 2.5       // silence, as a multiple of the longest recent gap, after which it is suspected
 	gapDecay                       = 0.9       // by which the longest gap shrinks with each message
 )
 
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -41,10 +41,10 @@
 	p.scheduleTick()
 }
 
-// checkByConnection opens a connection to a silent server. If there are as many as the dialer allows, it closes one that carries
-// no set-up to make room.
+// checkByConnection opens a connection to a silent server, unless one is being opened or the next dial is scheduled. If there are as
+// many as the dialer allows, it closes one that carries no set-up to make room.
 func (p *Peer) checkByConnection() {
-	if p.dialing != nil {
+	if p.dialing != nil || p.redialTimer != nil {
 		return
 	}
 	if len(p.conns) >= p.dialer.MaxConns(p.addr) {
