Close the connections of a removed server at once again

A set-up that is open on a connection is given up only by its close or a CANCEL: the server went on with attempts that the gatekeeper had tried elsewhere, answered them, and their ends had no caller. The protocol has no other sign for 'given up', so Peer.retire closes as before.

What the soak showed (a call from before a restart, at a running server that the list removes) is left: nothing is owed for what an earlier process held.

--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -433,3 +433,14 @@
 	b.client.Release(unread, 41)
 	b.event(lostReleaseEvent{unread, 41})
 }
+
+// Guards against a release that is confirmed and lost: on a connection that this side has begun to close, no release is confirmed, so
+// that the server sends it again on the next.
+func TestReleaseOnAClosingConnectionIsNotConfirmed(t *testing.T) {
+	b := newPlatformFixture(t)
+	b.client.Close()
+	b.send("BYE sip:x@net SIP/2.0\r\nCall-ID: 77\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n")
+	if m, err := b.in.Next(); err == nil {
+		t.Fatalf("confirmed by %+v", m)
+	}
+}
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -222,7 +222,7 @@
 )
 
 // processMayLive reports whether the server's process may still run and hold the calls.
-func (l serverLoss) processMayLive() bool { return l == serverUnreachable || l == serverRemoved }
+func (l serverLoss) processMayLive() bool { return l == serverUnreachable }
 
 // serverLost ends the calls established at a peer, because the server is lost. If its process may still run, the calls are
 // released at the server as well. The peer posts it after the answers that it received, so every call that it finds was
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -86,8 +86,7 @@
 	// minRedialWait and maxRedialWait bound the wait before a dial is retried. The wait doubles with each retry.
 	minRedialWait = 50 * time.Millisecond
 	maxRedialWait = time.Second
-	// lingerTime is how long a retired peer keeps running, to report attempts that the core still passes to it as NotSent, and to
-	// exchange releases with its server.
+	// lingerTime is how long a retired peer keeps running, to report attempts that the core still passes to it as NotSent.
 	lingerTime = 10 * time.Second
 	// warnInterval is the least time between two log entries about failed connects to a server.
 	warnInterval = 10 * time.Second
@@ -111,7 +110,6 @@
 	state  atomic.Int32 // control.State of the server on the list; also read by connection writers, before they send a set-up
 
 	conns           []*peerConn // open connections
-	lingering       []*peerConn // open connections to a server that was removed from the list: they carry releases only
 	dialing         *peerConn   // connection that is being opened, or nil
 	queued          []Attempt   // attempts that wait for a connection
 	redialWait      time.Duration
@@ -166,9 +164,8 @@
 
 func (p *Peer) gone() bool { return control.State(p.state.Load()) == control.Gone }
 
-// retire ends the peer of a server that was removed from the list: it fails the attempts and ends the calls established at the
-// server. The connections stay open for lingerTime: the server may still run, and release calls of which this process does not know,
-// because they were established before its start.
+// retire ends the peer of a server that was removed from the list: it closes the connections, which gives up the set-ups open on
+// them, fails the queued attempts and ends the calls established at the server.
 func (p *Peer) retire() {
 	p.stopDial()
 	p.stopRedialTimer()
@@ -179,8 +176,7 @@
 	for len(p.conns) > 0 {
 		c := p.conns[0]
 		p.removeConn(c)
-		c.lingering = true
-		p.lingering = append(p.lingering, c)
+		c.conn.Close()
 	}
 	p.failQueued(control.NotSent)
 	for _, r := range p.pendingReleases {
@@ -188,18 +184,7 @@
 	}
 	p.pendingReleases = nil
 	p.core.Post(func() { p.core.serverLost(p, serverRemoved) })
-	p.After(lingerTime, func() {
-		p.closeLingering()
-		p.Stop()
-	})
-}
-
-// closeLingering closes the connections to a server that was removed from the list.
-func (p *Peer) closeLingering() {
-	for _, c := range p.lingering {
-		c.conn.Close()
-	}
-	p.lingering = nil
+	p.After(lingerTime, p.Stop)
 }
 
 // shutdown stops the peer without notifying the core or the server.
@@ -391,7 +376,7 @@
 func (p *Peer) release(id string, cause int) {
 	p.Post(func() {
 		var best *peerConn
-		for _, c := range slices.Concat(p.conns, p.lingering) {
+		for _, c := range p.conns {
 			if c.proven && (best == nil || len(c.inFlight) < len(best.inFlight)) {
 				best = c
 			}
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -16,8 +16,6 @@
 	received bool                       // a message has been received on it
 	proven   bool                       // it has shown that the server is alive; see Dialer.Announces
 	closed   bool
-
-	lingering bool // see Peer.lingering
 }
 
 // send hands an attempt to the connection.
@@ -105,14 +103,8 @@
 
 // Released implements ServerEvents.
 func (c *peerConn) Released(id string, cause int, report []float64) {
-	p := c.peer
-	p.Post(func() {
-		if c.closed && !c.lingering {
-			return
-		}
-		if !c.closed {
-			c.noteMessage()
-		}
+	c.ifOpen(func(p *Peer) {
+		c.noteMessage()
 		p.core.Post(func() { p.core.released(p, id, cause, report) })
 	})
 }
