Send a release also on a connection that has carried only probes, as the last resort

Callers were left on calls: after a restart, or where their set-ups go elsewhere, a caller's connection carries only probes, and releases were kept from it as from a health check.

Cause: sendAgain of today left such connections out. Change: they come last, behind callers and connections that sent nothing; a release there is sent again to the first caller that shows itself, unless it was confirmed.

--- a/cmd/beammux/established_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -381,3 +381,18 @@
 	s.server.release(t, ids[0])
 	second.requireReleased(t, endLimit, ids[0])
 }
+
+// Guards against a release that is kept from a caller who has sent only probes on its connection since the gatekeeper was restarted, or
+// whose set-ups go elsewhere now.
+func TestReleaseReachesACallerThatOnlyProbes(t *testing.T) {
+	s := startCallFixture(t, 500*time.Millisecond)
+	first := dialCaller(t, s.addr)
+	ids := callIDs(1)
+	first.establish(t, ids[0])
+	first.conn.Close()
+	second := dialCaller(t, s.addr)
+	io.WriteString(second.conn, `{"msg":"probe","sid":"00000000000000ff","attrs":{},"code":0}`+"\n")
+	require.Equal(t, "probed", second.next(t, time.Second).Type)
+	s.server.release(t, ids[0])
+	second.requireReleased(t, releaseLimit, ids[0])
+}
--- a/internal/protocol/jsonl/release.go
+++ b/internal/protocol/jsonl/release.go
@@ -168,7 +168,7 @@
 func (d *releaseDelivery) sendAgain(r *release) {
 	waited := r.conn == nil && r.waiting
 	r.conn = nil
-	candidates := slices.DeleteFunc(slices.Clone(d.conns), func(c *conn) bool { return c.kind == healthCheck })
+	candidates := slices.Clone(d.conns)
 	slices.Reverse(candidates) // the newest first, among equals
 	slices.SortStableFunc(candidates, func(a, b *conn) int { return r.rank(b) - r.rank(a) })
 	for _, c := range candidates {
@@ -186,10 +186,11 @@
 
 // Ranks of a connection for a release. The sum counts; each is more than those below it together.
 const (
-	rankConfirms    = 1 << iota // it has confirmed releases before
-	rankSameAddress             // it comes from the address of the call's set-up
-	rankUntried                 // the release was not sent on it yet
-	rankCaller                  // it is a caller's
+	rankConfirms      = 1 << iota // it has confirmed releases before
+	rankSameAddress               // it comes from the address of the call's set-up
+	rankUntried                   // the release was not sent on it yet
+	rankNoHealthCheck             // it has not sent a probe without a set-up; a caller may do that too
+	rankCaller                    // it is a caller's
 )
 
 // rank returns how likely a release arrives on a connection; the highest is the best.
@@ -203,6 +204,9 @@
 	if !slices.Contains(r.tried, c) {
 		rank += rankUntried
 	}
+	if c.kind != healthCheck {
+		rank += rankNoHealthCheck
+	}
 	if c.kind == callerPeer {
 		rank += rankCaller
 	}
