--- a/cmd/beammux/established_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -37,7 +37,8 @@
 	conns    map[net.Conn]struct{}
 	callConn map[string]net.Conn // connection of each set-up
 	released map[string]time.Time
-	accepted int // connections
+	accepted int    // connections
+	unread   []byte // releases that are written on the next connection
 }
 
 func startMenuServer(t *testing.T, reportInterval time.Duration) *menuServer {
@@ -68,6 +69,9 @@
 	report := sip.Request("NOTIFY", "sip:peer@net").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", "0000000000000000").
 		Set("CSeq", "1 NOTIFY").Set("X-Occupancy", "spare:20;total:40;busy:0.1;q:0").Append(nil)
 	conn.Write(report)
+	s.mu.Lock()
+	conn.Write(s.unread)
+	s.mu.Unlock()
 	if s.reportInterval > 0 {
 		tick := time.NewTicker(s.reportInterval)
 		defer tick.Stop()
@@ -103,17 +107,35 @@
 	}
 }
 
+// bye returns the release of a call.
+func bye(id string) []byte {
+	return sip.Request("BYE", "sip:peer@net").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", id).Set("CSeq", "2 BYE").
+		Set("Reason", "Q.850;cause=16").Append(nil)
+}
+
 // release ends a call, on the connection of its set-up.
 func (s *menuServer) release(t *testing.T, id string) {
 	t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	bye := sip.Request("BYE", "sip:peer@net").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", id).Set("CSeq", "2 BYE").
-		Set("Reason", "Q.850;cause=16")
-	_, err := s.callConn[id].Write(bye.Append(nil))
+	_, err := s.callConn[id].Write(bye(id))
 	require.NoError(t, err)
 }
 
+// releaseOnNextConnection ends a call. The connection on which its release was written has ended, so it is written on the next.
+func (s *menuServer) releaseOnNextConnection(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unread = bye(id)
+}
+
+// acceptedConns returns the number of connections that were accepted.
+func (s *menuServer) acceptedConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
 // heardRelease reports whether the gatekeeper has released a call here.
 func (s *menuServer) heardRelease(id string) bool {
 	s.mu.Lock()
@@ -396,3 +418,20 @@
 	s.server.release(t, ids[0])
 	second.requireReleased(t, releaseLimit, ids[0])
 }
+
+// Guards against a release that is written in the moment in which its connection ends: the server has not seen the end yet, while the
+// gatekeeper has already opened its next connection. The server writes it on the one after that, which must come in time.
+func TestReleaseWrittenAsItsConnectionEnds(t *testing.T) {
+	s := startCallFixture(t, 500*time.Millisecond)
+	client := dialCaller(t, s.addr)
+	ids := callIDs(1)
+	client.establish(t, ids[0])
+	before := s.server.acceptedConns()
+	s.server.mu.Lock()
+	_, err := io.WriteString(s.server.callConn[ids[0]], "no message\r\n\r\n")
+	s.server.mu.Unlock()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.server.acceptedConns() > before }, time.Second, time.Millisecond)
+	s.server.releaseOnNextConnection(ids[0])
+	client.requireReleased(t, endLimit, ids[0])
+}
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -92,6 +92,8 @@
 	warnInterval = 10 * time.Second
 	// lateAnswerTime is how long an attempt that was given up is still tracked, because its answer may arrive late.
 	lateAnswerTime = 10 * time.Second
+	// lateReleaseDelay is the time after the end of a connection by which the server has seen it too.
+	lateReleaseDelay = 200 * time.Millisecond
 	// unreachableAfter is how long a server that announces nothing may be without a connection before its calls are released.
 	// Calls established at a server that vanished must be released within 8 s. Servers that announce themselves are followed by
 	// package liveness.
@@ -295,6 +297,14 @@
 	p.core.Post(func() { p.core.serverLost(p, serverUnreachable) })
 }
 
+// collectLateReleases opens one more connection after one has ended. Before the server saw that end it may have written releases there,
+// after the connection that followed was open already; it sends them on the next one. A server that sends nothing is left alone.
+func (p *Peer) collectLateReleases() {
+	if slices.ContainsFunc(p.conns, func(c *peerConn) bool { return c.received }) {
+		p.connect()
+	}
+}
+
 // scheduleRedial dials again after redialWait, and doubles the wait for the next time.
 func (p *Peer) scheduleRedial() {
 	p.stopRedialTimer()
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -140,6 +140,7 @@
 		}
 		if c.received {
 			p.connect() // the server may have releases that it could not send before this connection ended
+			p.After(lateReleaseDelay, p.collectLateReleases)
 		} else { // nothing was received on it: wait before the next dial
 			p.scheduleRedial()
 		}
