--- a/internal/routing/established_test.go
+++ b/internal/routing/established_test.go
@@ -31,6 +31,7 @@
 				h.core.Post(func() { time.Sleep(100 * time.Millisecond) })
 				h.servers["a"].answer("1", "body")
 				c.lose(h, h.servers["a"])
+				synctest.Wait()
 				h.sleep(time.Second)
 				require.Equal(t, 1, caller.finalAnswers)
 				require.True(t, caller.established)
