--- a/internal/protocol/jsonl/release.go
+++ b/internal/protocol/jsonl/release.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// send sends a release on a connection, unless that has ended. If the connection ends before the release is written, removeCaller
+// send sends a release on a connection, unless that has ended. If the connection ends before the release is written, removeConn
 // sends it again.
 func (d *releaseDelivery) send(r *release, c *conn) bool {
 	if c.PeerClosed() || c.Send(transport.Packet{Data: r.data}) != nil {
