Review, case 1: after a hand-over with a store folder the gatekeeper does not start again

Tried: a hand-over of a gatekeeper whose store lies in a folder, a busy minute at the new process, a planned restart. Both processes open the folder, each as the leader of the same group of one, and append to one log. The stand-ins of all cases come with this commit, as one program with the build tag review.

--- /dev/null
+++ b/review/standin/sipserver.go
@@ -0,0 +1,232 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// sipServer is a stand-in for a menu server that speaks SIP (RFC 3261) over UDP and TCP. It answers every set-up after 20 ms, and
+// releases a call when told so: over the connection of the call's set-up while that is open, else over a new one to the Contact.
+type sipServer struct {
+	lab  *lab
+	name string
+	port int
+	udp  net.PacketConn
+	tcp  net.Listener
+
+	quiet atomic.Bool // single calls are not recorded
+
+	mu      sync.Mutex
+	calls   map[string]*sipCall // by Call-ID
+	waiting map[string]chan int // final statuses of BYEs, by Call-ID
+}
+
+// sipCall is one call at a server.
+type sipCall struct {
+	number string // called number
+	invite *sipMessage
+	answer *sipMessage
+	acked  bool
+	over   bool
+	reply  func([]byte) error // over the flow of the set-up
+	stream bool
+}
+
+// log records what concerns a single call.
+func (s *sipServer) log(format string, args ...any) {
+	if !s.quiet.Load() {
+		s.lab.log(format, args...)
+	}
+}
+
+func (l *lab) sipServer(name string) *sipServer {
+	s := &sipServer{lab: l, name: name, calls: map[string]*sipCall{}, waiting: map[string]chan int{}}
+	for range 20 {
+		s.port = l.freePort()
+		var err error
+		if s.tcp, err = net.Listen("tcp", addr(s.port)); err != nil {
+			continue
+		}
+		if s.udp, err = net.ListenPacket("udp", addr(s.port)); err != nil {
+			s.tcp.Close()
+			continue
+		}
+		go s.serveUDP()
+		go s.serveTCP()
+		return s
+	}
+	l.cannotRun("no port for a server")
+	return nil
+}
+
+func (s *sipServer) serveUDP() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := s.udp.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		if m, err := parseSIP(buf[:n]); err == nil {
+			s.handle(m, false, func(b []byte) error { _, err := s.udp.WriteTo(b, from); return err })
+		}
+	}
+}
+
+func (s *sipServer) serveTCP() {
+	for {
+		c, err := s.tcp.Accept()
+		if err != nil {
+			return
+		}
+		go s.readTCP(c)
+	}
+}
+
+func (s *sipServer) readTCP(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		m, err := readSIP(in)
+		if err != nil {
+			return
+		}
+		s.handle(m, true, func(b []byte) error { _, err := c.Write(b); return err })
+	}
+}
+
+func (s *sipServer) handle(m *sipMessage, stream bool, reply func([]byte) error) {
+	id := m.get("Call-ID")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call := s.calls[id]
+	switch m.method() {
+	case "INVITE":
+		if call != nil {
+			if call.answer != nil { // a retransmission
+				reply(call.answer.bytes())
+			}
+			return
+		}
+		number, _, _ := strings.Cut(strings.TrimPrefix(strings.Fields(m.first)[1], "sip:"), "@")
+		call = &sipCall{number: number, invite: m, reply: reply, stream: stream}
+		s.calls[id] = call
+		s.log("server %s: set-up %s of number %s", s.name, id, number)
+		reply(m.respond(100, "Trying", "").bytes())
+		time.AfterFunc(20*time.Millisecond, func() { s.answer(call) })
+	case "ACK":
+		if call != nil && !call.acked {
+			call.acked = true
+			s.log("server %s: call %s of number %s stands", s.name, id, call.number)
+		}
+	case "BYE":
+		if call != nil && !call.over {
+			call.over = true
+			s.log("server %s: call %s released by the gatekeeper", s.name, id)
+		}
+		reply(m.respond(200, "OK", "").bytes())
+	case "CANCEL":
+		reply(m.respond(200, "OK", "").bytes())
+	case "OPTIONS":
+		reply(m.respond(200, "OK", "s").bytes())
+	case "":
+		if m.cseqMethod() == "BYE" && m.status() >= 200 {
+			if done := s.waiting[id]; done != nil {
+				delete(s.waiting, id)
+				done <- m.status()
+			}
+		}
+	default:
+		reply(m.respond(405, "Method Not Allowed", "s").bytes())
+	}
+}
+
+// answer sends the 200, and again until its ACK arrives.
+func (s *sipServer) answer(call *sipCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call.answer = call.invite.respond(200, "OK", randomID()).add("Contact", fmt.Sprintf("<sip:menu@%s;transport=%s>", addr(s.port), call.transport())).
+		add("Content-Type", "application/sdp")
+	call.answer.body = "v=0\r\no=" + s.name + "\r\n"
+	call.reply(call.answer.bytes())
+	var again func(time.Duration)
+	again = func(wait time.Duration) {
+		time.AfterFunc(wait, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !call.acked && wait < 16*time.Second {
+				call.reply(call.answer.bytes())
+				again(2 * wait)
+			}
+		})
+	}
+	again(500 * time.Millisecond)
+}
+
+func (c *sipCall) transport() string {
+	if c.stream {
+		return "tcp"
+	}
+	return "udp"
+}
+
+// standingWith returns the Call-ID of the standing call whose description holds a text, "" if none stands.
+func (s *sipServer) standingWith(text string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, c := range s.calls {
+		if strings.Contains(c.invite.body, text) && c.acked && !c.over {
+			return id
+		}
+	}
+	return ""
+}
+
+// release ends a call with a BYE in its dialog, repeated over UDP until a final response. It returns that, 0 if none came in 8 s.
+func (s *sipServer) release(id string) int {
+	s.mu.Lock()
+	call := s.calls[id]
+	call.over = true
+	contact := uriOf(call.invite.get("Contact"))
+	via := "SIP/2.0/" + strings.ToUpper(call.transport()) + " " + addr(s.port) + ";rport;branch=z9hG4bK" + randomID()
+	bye := (&sipMessage{first: "BYE " + contact + " SIP/2.0"}).add("Via", via).add("Max-Forwards", "70").
+		add("From", call.answer.get("To")).add("To", call.invite.get("From")).add("Call-ID", id).add("CSeq", "1 BYE").
+		add("Reason", "Q.850;cause=16")
+	done := make(chan int, 1)
+	s.waiting[id] = done
+	s.mu.Unlock()
+	s.log("server %s: releases call %s of number %s", s.name, id, call.number)
+	send := call.reply
+	if call.stream {
+		// The connection of the set-up may have ended without the write showing it; RFC 3261 sends the request to the Contact.
+		c, err := net.DialTimeout("tcp", hostPortOf(contact), time.Second)
+		if err == nil {
+			go s.readTCP(c)
+			send = func(b []byte) error { _, err := c.Write(b); return err }
+		}
+	}
+	status := 0
+	end := time.After(8 * time.Second)
+	for wait := 500 * time.Millisecond; ; wait *= 2 {
+		send(bye.bytes())
+		next := time.After(wait)
+		if call.stream {
+			next = nil
+		}
+		select {
+		case status = <-done:
+		case <-end:
+		case <-next:
+			continue
+		}
+		break
+	}
+	s.log("server %s: final response to the release of call %s: %d", s.name, id, status)
+	return status
+}
