Review, case 2: calls of a vanished server stand on when another server takes its address

Tried: a menu server's machine vanishes, 4 s later another server under a new id runs at its address, the bus tells of the new one after 1 s and of the loss after 13.9 s, within the site's figures. The first server's peer takes the other process for a sign of life.

--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -91,7 +92,10 @@
 }
 
 // config writes the configuration of a gatekeeper of a small deployment: the figures of the site texas-menus.
-func (l *lab) config(listen string) string {
+func (l *lab) config(listen string) string { return l.configWith(listen, nil) }
+
+// configWith is config with further keys.
+func (l *lab) configWith(listen string, further map[string]any) string {
 	class := func(name string, aim int, worth int) map[string]any {
 		return map[string]any{"name": name, "aim-us": aim, "deadline-us": 9000000, "late-worth": 0.25, "worth": worth,
 			"repeat": "read_like", "streaming": true, "key-scope": "all", "window-us": 5000000}
@@ -109,8 +113,10 @@
 			"start-capacity": 0.33, "warm-within-us": 15000000},
 		"report": map[string]any{"fields": []string{"spare", "total", "busy", "q"}, "via": "inline"},
 	}
-	text, _ := json.MarshalIndent(map[string]any{"name": "n1", "listen": listen, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings}, "", " ")
+	all := map[string]any{"name": "n1", "listen": listen, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings}
+	maps.Copy(all, further)
+	text, _ := json.MarshalIndent(all, "", " ")
 	return l.write("config.json", string(text))
 }
 
--- a/review/standin/platformserver.go
+++ b/review/standin/platformserver.go
@@ -158,3 +158,20 @@
 	c := s.calls[id]
 	return c != nil && c.stands && !c.over
 }
+
+// release ends a call with a BYE on the connection of its set-up, or else on any open one.
+func (s *platformServer) release(id string) {
+	s.mu.Lock()
+	c := s.calls[id]
+	c.over = true
+	link := c.link
+	if !s.conns[link] {
+		for link = range s.conns {
+			break
+		}
+	}
+	s.mu.Unlock()
+	s.lab.log("server %s: releases call %s", s.name, id)
+	link.write((&sipMessage{first: "BYE sip:gatekeeper@net SIP/2.0"}).add("Via", "SIP/2.0/TCP peer").add("Call-ID", id).
+		add("CSeq", "2 BYE").add("Reason", "Q.850;cause=16"))
+}
