--- a/review/standin/case_store.go
+++ b/review/standin/case_store.go
@@ -67,8 +67,6 @@
 	if day == nil {
 		l.cannotRun("the SIP front takes no caller")
 	}
-	caller.quiet.Store(true)
-	server.quiet.Store(true)
 	var running sync.WaitGroup
 	var stood, sent atomic.Int32
 	began := time.Now()
--- a/review/standin/sipcaller.go
+++ b/review/standin/sipcaller.go
@@ -8,7 +8,6 @@
 	"net"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -17,7 +16,6 @@
 type sipCaller struct {
 	lab    *lab
 	listen net.Listener
-	quiet  atomic.Bool // single calls are not recorded
 
 	mu    sync.Mutex
 	calls map[string]*sipCallerCall // by Call-ID
@@ -31,13 +29,6 @@
 	released bool        // the gatekeeper's BYE came
 }
 
-// log records what concerns a single call.
-func (c *sipCaller) log(format string, args ...any) {
-	if !c.quiet.Load() {
-		c.lab.log(format, args...)
-	}
-}
-
 func (l *lab) sipCaller() *sipCaller {
 	listen, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -97,7 +88,7 @@
 	call := c.calls[m.get("Call-ID")]
 	switch {
 	case m.method() == "" && m.cseqMethod() == "BYE":
-		c.log("terminal: answer to its release of call %s: %d", m.get("Call-ID"), m.status())
+		c.lab.log("terminal: answer to its release of call %s: %d", m.get("Call-ID"), m.status())
 	case m.method() == "BYE":
 		if call == nil {
 			conn.Write(m.respond(481, "Call/Transaction Does Not Exist", "").bytes())
@@ -114,11 +105,11 @@
 	case m.status() < 300:
 		if call.answer == nil {
 			call.answer = m
-			c.log("terminal: call to %s stands", call.number)
+			c.lab.log("terminal: call to %s stands", call.number)
 		}
 		conn.Write(c.request(call, "ACK").bytes())
 	default:
-		c.log("terminal: call to %s: %d", call.number, m.status())
+		c.lab.log("terminal: call to %s: %d", call.number, m.status())
 		ack := (&sipMessage{first: strings.Replace(call.invite.first, "INVITE", "ACK", 1)}).add("Via", call.invite.get("Via")).
 			add("Max-Forwards", "70").add("From", call.invite.get("From")).add("To", m.get("To")).
 			add("Call-ID", m.get("Call-ID")).add("CSeq", "1 ACK")
@@ -141,10 +132,10 @@
 func (k *sipLink) call() *sipCallerCall {
 	c := k.caller
 	number := randomID()
-	local := c.listen.Addr().String()
-	m := (&sipMessage{first: "INVITE sip:" + number + "@gatekeeper SIP/2.0"}).
+	local, to := c.listen.Addr().String(), k.conn.RemoteAddr().String()
+	m := (&sipMessage{first: "INVITE sip:" + number + "@" + to + " SIP/2.0"}).
 		add("Via", "SIP/2.0/TCP "+local+";branch=z9hG4bK"+randomID()).add("Max-Forwards", "70").
-		add("From", fmt.Sprintf("\"Nursing station, ward 4\" <sip:ward@%s>;tag=%s", local, randomID())).add("To", "<sip:"+number+"@gatekeeper>").
+		add("From", fmt.Sprintf("\"Nursing station, ward 4\" <sip:ward@%s>;tag=%s", local, randomID())).add("To", "<sip:"+number+"@"+to+">").
 		add("Call-ID", randomID()).add("CSeq", "1 INVITE").
 		add("Contact", fmt.Sprintf("<sip:ward@%s;transport=tcp>;+sip.instance=\"<urn:uuid:00000000-0000-1000-8000-000A95A0E128>\"", local)).
 		add("X-Cos", "diet-order").add("X-Dest", "0").add("Content-Type", "application/sdp")
@@ -153,7 +144,7 @@
 	c.mu.Lock()
 	c.calls[m.get("Call-ID")] = call
 	c.mu.Unlock()
-	c.log("terminal: set-up of number %s on connection %s", number, k.name)
+	c.lab.log("terminal: set-up of number %s on connection %s", number, k.name)
 	k.send(m)
 	return call
 }
@@ -163,7 +154,7 @@
 	k.caller.mu.Lock()
 	m := k.caller.request(call, "BYE")
 	k.caller.mu.Unlock()
-	k.caller.log("terminal: ends its call to %s", call.number)
+	k.caller.lab.log("terminal: ends its call to %s", call.number)
 	k.send(m)
 }
 
--- a/review/standin/sipserver.go
+++ b/review/standin/sipserver.go
@@ -8,7 +8,6 @@
 	"net"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -21,8 +20,6 @@
 	udp  net.PacketConn
 	tcp  net.Listener
 
-	quiet atomic.Bool // single calls are not recorded
-
 	mu    sync.Mutex
 	calls map[string]*sipCall // by Call-ID
 }
@@ -38,13 +35,6 @@
 	stream bool
 }
 
-// log records what concerns a single call.
-func (s *sipServer) log(format string, args ...any) {
-	if !s.quiet.Load() {
-		s.lab.log(format, args...)
-	}
-}
-
 func (l *lab) sipServer(name string) *sipServer {
 	s := &sipServer{lab: l, name: name, calls: map[string]*sipCall{}}
 	for range 20 {
@@ -116,18 +106,18 @@
 		number, _, _ := strings.Cut(strings.TrimPrefix(strings.Fields(m.first)[1], "sip:"), "@")
 		call = &sipCall{number: number, invite: m, reply: reply, stream: stream}
 		s.calls[id] = call
-		s.log("server %s: set-up %s of number %s", s.name, id, number)
+		s.lab.log("server %s: set-up %s of number %s", s.name, id, number)
 		reply(m.respond(100, "Trying", "").bytes())
 		time.AfterFunc(20*time.Millisecond, func() { s.answer(call) })
 	case "ACK":
 		if call != nil && !call.acked {
 			call.acked = true
-			s.log("server %s: call %s of number %s stands", s.name, id, call.number)
+			s.lab.log("server %s: call %s of number %s stands", s.name, id, call.number)
 		}
 	case "BYE":
 		if call != nil && !call.over {
 			call.over = true
-			s.log("server %s: call %s released by the gatekeeper", s.name, id)
+			s.lab.log("server %s: call %s released by the gatekeeper", s.name, id)
 		}
 		reply(m.respond(200, "OK", "").bytes())
 	case "CANCEL":
