End the calls of a server whose address the list gives to another one

Cause: the list looks for a server by its name alone. The entry of the first server stayed, its peer went on dialling the address, reached the second server's process there, and took its messages for signs of life, so neither the silence nor the lost connection was ever noticed.

Change: one process at a time listens at an endpoint (transport and address, from the dialer, so that both fronts agree on it). The list keeps one server for each. Of two that it names at one address the later start holds it, and where the starts say nothing the one named last; the other is off the list until it is removed, moves or starts again. Its set-ups go elsewhere as at a removal. Calls that were set up through its connections after the new process had started stand at that process and move to it; all others are released at once. Releases that wait for the old server go to the new one, which may hold what the old one's connections set up there.

TestClockStepDuringRetryWait asks the same of the entries that applyHost now hands to a listChange.

--- a/cmd/beammux/established_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -38,6 +38,7 @@
 	callConn map[string]net.Conn // connection of each set-up
 	released map[string]time.Time
 	accepted int    // connections
+	vanished bool   // nothing more is sent
 	unread   []byte // releases that are written on the next connection
 }
 
@@ -61,7 +62,12 @@
 }
 
 func (s *menuServer) serve(conn net.Conn) {
-	defer conn.Close()
+	defer func() {
+		conn.Close()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
 	s.accepted++
@@ -77,7 +83,7 @@
 		defer tick.Stop()
 		go func() {
 			for range tick.C {
-				if _, err := conn.Write(report); err != nil {
+				if _, err := s.write(conn, report); err != nil {
 					return
 				}
 			}
@@ -91,13 +97,14 @@
 		}
 		id := m.Get("Call-ID")
 		s.mu.Lock()
-		switch m.Method {
-		case "INVITE":
+		switch {
+		case s.vanished:
+		case m.Method == "INVITE":
 			s.callConn[id] = conn
 			answer := sip.Respond(m, 200, "OK")
 			answer.Body = []byte("answer " + id)
 			conn.Write(answer.Append(nil))
-		case "BYE":
+		case m.Method == "BYE":
 			if _, repeated := s.released[id]; !repeated {
 				s.released[id] = time.Now()
 			}
@@ -107,18 +114,34 @@
 	}
 }
 
+// write sends a message, unless the server has vanished.
+func (s *menuServer) write(conn net.Conn, message []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.vanished {
+		return 0, nil
+	}
+	return conn.Write(message)
+}
+
 // bye returns the release of a call.
 func bye(id string) []byte {
 	return sip.Request("BYE", "sip:peer@net").Set("Via", "SIP/2.0/TCP server").Set("Call-ID", id).Set("CSeq", "2 BYE").
 		Set("Reason", "Q.850;cause=16").Append(nil)
 }
 
-// release ends a call, on the connection of its set-up.
+// release ends a call, on the connection of its set-up or else on any open one.
 func (s *menuServer) release(t *testing.T, id string) {
 	t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, err := s.callConn[id].Write(bye(id))
+	conn := s.callConn[id]
+	if _, open := s.conns[conn]; !open {
+		for conn = range s.conns {
+			break
+		}
+	}
+	_, err := conn.Write(bye(id))
 	require.NoError(t, err)
 }
 
--- a/internal/node/dialer.go
+++ b/internal/node/dialer.go
@@ -22,6 +22,9 @@
 // Announces implements routing.Dialer.
 func (d *dialer) Announces(addr string) bool { return d.dialerFor(addr).Announces(addr) }
 
+// Endpoint implements routing.Dialer.
+func (d *dialer) Endpoint(addr string) string { return d.dialerFor(addr).Endpoint(addr) }
+
 // Dial implements routing.Dialer.
 func (d *dialer) Dial(ctx context.Context, addr string, events routing.ServerEvents) (routing.ServerConn, error) {
 	return d.dialerFor(addr).Dial(ctx, addr, events)
@@ -45,6 +48,8 @@
 
 func (noDialer) Announces(string) bool { return false }
 
+func (noDialer) Endpoint(addr string) string { return addr }
+
 func (noDialer) Dial(_ context.Context, addr string, _ routing.ServerEvents) (routing.ServerConn, error) {
 	return nil, fmt.Errorf("server %s requires the SIP front, which is disabled", addr)
 }
--- a/internal/protocol/sip/dispatch.go
+++ b/internal/protocol/sip/dispatch.go
@@ -68,7 +68,7 @@
 		}
 		t.respond(Respond(m, status, reason).Set("Allow", allow).Set("To", ensureTag(m.Get("To"))))
 	case m.Method == "NOTIFY":
-		if server := a.serverConns[f.proto()+"|"+f.remote()]; server != nil {
+		if server := a.serverConns[endpoint(f.proto(), f.remote())]; server != nil {
 			if values := parseReport(m.Get("X-Occupancy"), a.Reports); values != nil {
 				server.events.Report(values)
 			}
--- a/internal/protocol/sip/header.go
+++ b/internal/protocol/sip/header.go
@@ -135,6 +135,9 @@
 	return proto, net.JoinHostPort(strings.Trim(u.host, "[]"), strconv.Itoa(port))
 }
 
+// endpoint returns a transport and an address, host:port, as one text.
+func endpoint(proto, addr string) string { return proto + "|" + addr }
+
 // via is a parsed Via value.
 type via struct {
 	proto, sentBy string
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -40,6 +40,9 @@
 // Announces implements routing.Dialer. A menu server sends its load report on each new connection before anything else.
 func (d *PlatformDialer) Announces(string) bool { return true }
 
+// Endpoint implements routing.Dialer.
+func (d *PlatformDialer) Endpoint(addr string) string { return endpoint("TCP", addr) }
+
 // Dial implements routing.Dialer. addr is a host and port.
 func (d *PlatformDialer) Dial(ctx context.Context, addr string, events routing.ServerEvents) (routing.ServerConn, error) {
 	conn, err := d.Budget.Dial(ctx, addr, d.Timeout)
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -16,7 +16,7 @@
 type serverConn struct {
 	agent       *Agent
 	serverURI   uri
-	key         string // transport and address, as in Agent.serverConns
+	key         string // its endpoint, as in Agent.serverConns
 	flow        flow
 	events      routing.ServerEvents
 	inFlight    map[string]*uac // set-ups without a final response, by call id
@@ -40,6 +40,15 @@
 // Announces implements routing.Dialer. A SIP server sends nothing before it is asked.
 func (a *Agent) Announces(string) bool { return false }
 
+// Endpoint implements routing.Dialer. An invalid address is its own endpoint: it can't be dialed.
+func (a *Agent) Endpoint(addr string) string {
+	u, err := parseURI(addr)
+	if err != nil {
+		return addr
+	}
+	return endpoint(u.nextHop())
+}
+
 // Dial implements routing.Dialer. addr is a SIP URI such as sip:host:port;transport=udp.
 func (a *Agent) Dial(ctx context.Context, addr string, events routing.ServerEvents) (routing.ServerConn, error) {
 	u, err := parseURI(addr)
@@ -47,7 +56,7 @@
 		return nil, errors.New("not a SIP address: " + addr)
 	}
 	proto, nextHop := u.nextHop()
-	server := &serverConn{agent: a, serverURI: u, key: proto + "|" + nextHop, events: events, inFlight: map[string]*uac{}}
+	server := &serverConn{agent: a, serverURI: u, key: endpoint(proto, nextHop), events: events, inFlight: map[string]*uac{}}
 	var conn *transport.Conn
 	if proto == "TCP" {
 		if conn, err = a.Budget.Dial(ctx, nextHop, a.DialTimeout); err != nil {
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -94,14 +93,15 @@
 	return call
 }
 
-// answered handles the answer of a server that establishes a call.
-func (c *Core) answered(p *Peer, r attemptRef, body []byte) {
+// answered handles the answer of a server that establishes a call, which has arrived on a connection.
+func (c *Core) answered(on *peerConn, r attemptRef, body []byte) {
 	call := c.attemptOf(r)
 	if call == nil {
-		c.lateAnswer(p, r)
+		c.lateAnswer(on.peer, r)
 		return
 	}
 	a := call.current
+	a.answeredOn = on
 	a.expiry.Stop()
 	call.deadlineTimer.Stop()
 	call.established, call.establishedAt = true, c.clock.now()
@@ -216,31 +216,42 @@
 // The reasons of a serverLoss.
 const (
 	serverRemoved     serverLoss = "removed from the list"
+	serverReplaced    serverLoss = "another server has its address, by the list"
 	serverRestarted   serverLoss = "started again, by the list"
 	serverProcessDied serverLoss = "process ended: connections reset, then refused"
 	serverUnreachable serverLoss = "unreachable"
 )
 
 // processMayLive reports whether the server's process may still run and hold the calls.
-func (l serverLoss) processMayLive() bool { return l == serverUnreachable }
+func (l serverLoss) processMayLive() bool {
+	return l == serverUnreachable
+}
 
-// serverLost ends the calls established at a peer, because the server is lost. If its process may still run, the calls are
-// released at the server as well. The peer posts it after the answers that it received, so every call that it finds was
-// established before the loss, however late the core is.
-func (c *Core) serverLost(p *Peer, loss serverLoss) { c.serverLostBefore(p, math.MaxInt64, loss) }
+// serverLost ends the calls established at a peer, because the server is lost. The peer posts it after the answers that it received,
+// so every call that it finds was established before the loss, however late the core is.
+func (c *Core) serverLost(p *Peer, loss serverLoss) {
+	c.endCallsOf(p, loss, func(*callState) bool { return true })
+}
 
 // serverLostBefore is serverLost for the calls established before a time.
 func (c *Core) serverLostBefore(p *Peer, before control.Micros, loss serverLoss) {
+	c.endCallsOf(p, loss, func(call *callState) bool { return call.establishedAt < before })
+}
+
+// endCallsOf ends the selected calls of those established at a peer. If the server's process may still run, the calls are released at
+// the server as well.
+func (c *Core) endCallsOf(p *Peer, loss serverLoss, selected func(*callState) bool) {
 	ended := 0
 	for _, call := range c.calls {
-		if call.established && call.current.peer == p && call.establishedAt < before {
-			if loss.processMayLive() {
-				p.release(call.ID, CauseNormal)
-			}
-			c.endings.Info("call ended with its server", logrus.Fields{"call": call.ID, "server": p.server, "reason": loss})
-			c.endEstablished(call, control.Cut, CauseFailed, nil)
-			ended++
+		if !call.established || call.current.peer != p || !selected(call) {
+			continue
+		}
+		if loss.processMayLive() {
+			p.release(call.ID, CauseNormal)
 		}
+		c.endings.Info("call ended with its server", logrus.Fields{"call": call.ID, "server": p.server, "reason": loss})
+		c.endEstablished(call, control.Cut, CauseFailed, nil)
+		ended++
 	}
 	if ended > 0 {
 		c.stats.CallsLost.Add(int64(ended))
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -72,6 +72,8 @@
 	sentAt  control.Micros
 	expiry  *time.Timer
 	givenUp *atomic.Bool // set once the attempt is given up: nothing of it is written after that
+	// answeredOn is the connection that carried the answer. It is set once the call is established.
+	answeredOn *peerConn
 }
 
 // callState is a call in the core's table.
--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -143,6 +143,8 @@
 
 func (h *harness) Announces(string) bool { return h.announces }
 
+func (h *harness) Endpoint(addr string) string { return addr }
+
 func newHarness(serverNames ...string) *harness {
 	h := &harness{servers: map[string]*fakeServer{}}
 	h.core = NewCore(settings(), 1, nil, discardLogger())
--- a/internal/routing/limits_test.go
+++ b/internal/routing/limits_test.go
@@ -185,12 +185,17 @@
 				t.Errorf("step %v: %+v", step, c)
 			}
 			stepped := time.Now().Add(step).UnixMicro()
-			e, _ := h.list.applyHost("", Host{Name: "c", Addr: "a", State: control.Ready, Since: control.Micros(stepped)})
-			if age := h.core.clock.now() - e.Since; age < 0 || age > 1000 {
+			started := func() control.Micros {
+				change := &listChange{list: h.list}
+				h.list.applyHost("", Host{Name: "c", Addr: "a", State: control.Ready, Since: control.Micros(stepped)}, change)
+				return change.entries[len(change.entries)-1].Since
+			}
+			since := started()
+			if age := h.core.clock.now() - since; age < 0 || age > 1000 {
 				t.Errorf("step %v: age of a server that has just started is %d us", step, age)
 			}
-			if again, _ := h.list.applyHost("", Host{Name: "c", Addr: "a", State: control.Ready, Since: control.Micros(stepped)}); again.Since != e.Since {
-				t.Errorf("repeated update moved the start of the server by %d us", again.Since-e.Since)
+			if again := started(); again != since {
+				t.Errorf("repeated update moved the start of the server by %d us", again-since)
 			}
 		})
 	}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -36,6 +36,8 @@
 	dialer    Dialer
 	log       logrus.FieldLogger
 	hosts     map[string]*listedHost
+	holders   map[string]*listedHost  // by the endpoint of their address
+	replaced  map[string]replacedHost // servers whose address another server has, by name
 	namesByID map[uint32]string
 }
 
@@ -51,7 +53,7 @@
 // NewList returns an empty list that reports its changes to core.
 func NewList(core *Core, dialer Dialer, log logrus.FieldLogger) *List {
 	return &List{Actor: actor.New(), core: core, dialer: dialer, log: log, hosts: map[string]*listedHost{},
-		namesByID: map[uint32]string{}}
+		holders: map[string]*listedHost{}, replaced: map[string]replacedHost{}, namesByID: map[uint32]string{}}
 }
 
 // End stops the list and its peers and closes their connections. Established calls are left alone, without any
@@ -76,27 +78,33 @@
 	})
 }
 
+// listChange collects the changed entries of one update for the module.
+type listChange struct {
+	list    *List
+	entries []control.Entry
+}
+
+// add adds the changed entry of a server.
+func (c *listChange) add(name string, e control.Entry) {
+	c.entries = append(c.entries, e)
+	c.list.record(name, e)
+}
+
 // apply applies a change to the list and passes the changed entries to the module.
 func (l *List) apply(u Update) {
-	entries := make([]control.Entry, 0, len(u.Hosts))
+	change := &listChange{list: l}
 	named := map[string]bool{}
 	for _, h := range u.Hosts {
 		named[h.Name] = true
-		if e, ok := l.applyHost(u.Source, h); ok {
-			entries = append(entries, e)
-			l.record(h.Name, e)
-		}
+		l.removeMoved(h, change)
+	}
+	for _, h := range u.Hosts {
+		l.applyHost(u.Source, h, change)
 	}
 	if u.Complete {
-		for name, old := range l.hosts {
-			if old.source == u.Source && !named[name] {
-				l.remove(old)
-				e := control.Entry{Server: old.id, Cell: old.Cell, State: control.Gone}
-				entries = append(entries, e)
-				l.record(name, e)
-			}
-		}
+		l.removeUnnamed(u.Source, named, change)
 	}
+	l.listAgain(change)
 	peers := map[uint32]*Peer{}
 	for _, h := range l.hosts {
 		peers[h.id] = h.peer
@@ -104,31 +112,47 @@
 	l.core.Post(func() {
 		l.core.peers = peers
 		l.core.targetsCountedAt = -viewInterval // the list's size is counted at once
-		l.core.handle(control.List{Delta: true, Entries: entries})
+		l.core.handle(control.List{Delta: true, Entries: change.entries})
 	})
 }
 
-// applyHost applies one entry of an update. It updates the peer's state before the module's, so that nothing is sent in
-// between on the old state.
-func (l *List) applyHost(source string, h Host) (control.Entry, bool) {
+// removeUnnamed removes the servers of a source that its complete list does not name.
+func (l *List) removeUnnamed(source string, named map[string]bool, change *listChange) {
+	for name, old := range l.hosts {
+		if old.source == source && !named[name] {
+			l.remove(old, change)
+		}
+	}
+	for name, old := range l.replaced {
+		if old.source == source && !named[name] {
+			delete(l.replaced, name)
+		}
+	}
+}
+
+// removeMoved removes a server that an update names as gone or at another address. All of an update's are removed first, so that
+// their addresses are free for its other servers.
+func (l *List) removeMoved(h Host, change *listChange) {
 	entry := l.hosts[h.Name]
+	if entry != nil && (h.State == control.Gone || entry.Addr != h.Addr) {
+		l.remove(entry, change)
+	}
 	if h.State == control.Gone {
-		if entry == nil {
-			return control.Entry{}, false
-		}
-		l.remove(entry)
-		return control.Entry{Server: entry.id, Cell: h.Cell, State: control.Gone, Since: entry.since}, true
+		delete(l.replaced, h.Name)
 	}
-	if entry != nil && entry.Addr != h.Addr { // the address has changed: start over with a new peer
-		l.remove(entry)
-		entry = nil
+}
+
+// applyHost applies one entry of an update. It updates the peer's state before the module's, so that nothing is sent in
+// between on the old state.
+func (l *List) applyHost(source string, h Host, change *listChange) {
+	if h.State == control.Gone || l.isReplaced(source, h) {
+		return
 	}
+	entry := l.hosts[h.Name]
 	if entry == nil {
-		id := l.serverID(h.Name)
-		log := l.log.WithFields(logrus.Fields{"server": h.Name, "address": h.Addr})
-		entry = &listedHost{id: id, peer: newPeer(l.core, id, h.Addr, l.dialer, log)}
-		entry.since = l.core.clock.fromUnix(h.Since)
-		l.hosts[h.Name] = entry
+		entry = l.newEntry(h)
+		l.replaceHolder(h, entry, change)
+		l.hosts[h.Name], l.holders[entry.peer.endpoint] = entry, entry
 	} else if h.Since != entry.Since {
 		entry.since = l.core.clock.fromUnix(h.Since)
 		if h.Since > entry.Since { // the process was restarted: calls established at the old one have ended
@@ -138,7 +162,14 @@
 	}
 	entry.Host, entry.source = h, source
 	entry.peer.setState(h.State)
-	return control.Entry{Server: entry.id, Cell: h.Cell, State: h.State, Since: entry.since}, true
+	change.add(h.Name, control.Entry{Server: entry.id, Cell: h.Cell, State: h.State, Since: entry.since})
+}
+
+// newEntry returns an entry with a new peer.
+func (l *List) newEntry(h Host) *listedHost {
+	id := l.serverID(h.Name)
+	log := l.log.WithFields(logrus.Fields{"server": h.Name, "address": h.Addr})
+	return &listedHost{id: id, peer: newPeer(l.core, id, h.Addr, l.dialer, log), since: l.core.clock.fromUnix(h.Since)}
 }
 
 // record records the state of a server on the list.
@@ -147,9 +178,11 @@
 }
 
 // remove removes a server from the list and ends its peer.
-func (l *List) remove(h *listedHost) {
+func (l *List) remove(h *listedHost, change *listChange) {
 	delete(l.hosts, h.Name)
+	delete(l.holders, h.peer.endpoint)
 	h.peer.setState(control.Gone)
+	change.add(h.Name, control.Entry{Server: h.id, Cell: h.Cell, State: control.Gone, Since: h.since})
 }
 
 // serverID returns the id of a server: the hexadecimal number in its name (s-00c41f7a), or else a hash of the name. An
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -80,6 +80,9 @@
 	// Announces reports whether a server sends a message on each new connection before anything else. Only that message then
 	// proves that the server is alive; otherwise the connection itself does.
 	Announces(addr string) bool
+	// Endpoint returns the transport and address to which an address leads, in a form that is equal for equal endpoints. One process at
+	// a time listens there.
+	Endpoint(addr string) string
 }
 
 const (
@@ -107,9 +110,11 @@
 	core   *Core
 	server uint32
 	addr   string
-	dialer Dialer
-	log    logrus.FieldLogger
-	state  atomic.Int32 // control.State of the server on the list; also read by connection writers, before they send a set-up
+	// endpoint is Dialer.Endpoint of addr.
+	endpoint string
+	dialer   Dialer
+	log      logrus.FieldLogger
+	state    atomic.Int32 // control.State of the server on the list; also read by connection writers, before they send a set-up
 
 	conns           []*peerConn // open connections
 	dialing         *peerConn   // connection that is being opened, or nil
@@ -120,6 +125,7 @@
 	wasReset        bool             // a connection was reset since the last successful dial: the server process may have died
 	disconnectedAt  control.Micros   // since when no connection is open; 0 while one is, and once the server's calls were ended
 	warnedAt        control.Micros   // when a failed connect was last logged
+	replacement     *replacement     // server that has taken the address, or nil
 	liveness        liveness.Detector
 	ticking         bool // a liveness tick is scheduled
 	ctx             context.Context
@@ -140,7 +146,7 @@
 }
 
 func newPeer(core *Core, server uint32, addr string, dialer Dialer, log logrus.FieldLogger) *Peer {
-	p := &Peer{Actor: actor.New(), core: core, server: server, addr: addr, dialer: dialer, log: log,
+	p := &Peer{Actor: actor.New(), core: core, server: server, addr: addr, endpoint: dialer.Endpoint(addr), dialer: dialer, log: log,
 		redialWait: minRedialWait}
 	p.ctx, p.stopDial = context.WithCancel(context.Background())
 	return p
@@ -160,7 +166,9 @@
 
 // sameServer reports whether two peers may be connected to the same process: after a removal and a new entry of the list, the
 // connections of the old peer and those of the new one lead there.
-func (p *Peer) sameServer(other *Peer) bool { return p.server == other.server || p.addr == other.addr }
+func (p *Peer) sameServer(other *Peer) bool {
+	return p.server == other.server || p.endpoint == other.endpoint
+}
 
 func (p *Peer) ready() bool { return control.State(p.state.Load()) == control.Ready }
 
@@ -182,10 +190,14 @@
 	}
 	p.failQueued(control.NotSent)
 	for _, r := range p.pendingReleases {
-		p.core.endings.Info("release to a removed server dropped", logrus.Fields{"call": r.id, "server": p.server})
+		p.releaseAfterRetirement(r)
 	}
 	p.pendingReleases = nil
-	p.core.Post(func() { p.core.serverLost(p, serverRemoved) })
+	if by := p.replacement; by != nil {
+		p.core.Post(func() { p.core.serverReplaced(p, *by) })
+	} else {
+		p.core.Post(func() { p.core.serverLost(p, serverRemoved) })
+	}
 	p.After(lingerTime, p.Stop)
 }
 
@@ -244,7 +256,7 @@
 		p.dialFailed(err)
 		return
 	}
-	c.conn = conn
+	c.conn, c.connectedAt = conn, p.core.clock.now()
 	p.conns = append(p.conns, c)
 	if c.received || !p.dialer.Announces(p.addr) {
 		p.proveAlive(c)
@@ -381,8 +393,18 @@
 	})
 }
 
+// releaseAfterRetirement handles the release of a call at a server that was removed from the list. If another server has its address,
+// that one may hold the call, because the set-up has reached it there, and is sent the release. Otherwise the release is dropped.
+func (p *Peer) releaseAfterRetirement(r pendingRelease) {
+	if by := p.replacement; by != nil {
+		p.core.Post(func() { p.core.releaseAgain(by.peer, r.id, r.cause) })
+		return
+	}
+	p.core.endings.Info("release to a removed server dropped", logrus.Fields{"call": r.id, "server": p.server})
+}
+
 // release ends an established call at the server, on the proven connection with the fewest attempts in flight. Without one the
-// release is queued; for a server that was removed from the list it is dropped.
+// release is queued; for a server that was removed from the list see releaseAfterRetirement.
 func (p *Peer) release(id string, cause int) {
 	p.Post(func() {
 		var best *peerConn
@@ -391,9 +413,12 @@
 				best = c
 			}
 		}
-		if best != nil {
+		switch {
+		case best != nil:
 			best.conn.Release(id, cause)
-		} else if !p.gone() && !p.releaseWaits(id) {
+		case p.gone():
+			p.releaseAfterRetirement(pendingRelease{id, cause})
+		case !p.releaseWaits(id):
 			p.core.endings.Info("release waits for a connection to the server", logrus.Fields{"call": id, "server": p.server})
 			p.pendingReleases = append(p.pendingReleases, pendingRelease{id, cause})
 			p.connect()
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -10,12 +10,13 @@
 
 // peerConn is one connection of a peer. Its events are ignored once the peer has removed it.
 type peerConn struct {
-	peer     *Peer
-	conn     ServerConn
-	inFlight map[string]inFlightAttempt // by call id
-	received bool                       // a message has been received on it
-	proven   bool                       // it has shown that the server is alive; see Dialer.Announces
-	closed   bool
+	peer        *Peer
+	conn        ServerConn
+	connectedAt control.Micros
+	inFlight    map[string]inFlightAttempt // by call id
+	received    bool                       // a message has been received on it
+	proven      bool                       // it has shown that the server is alive; see Dialer.Announces
+	closed      bool
 }
 
 // send hands an attempt to the connection.
@@ -86,7 +87,7 @@
 		}
 		c.noteMessage()
 		c.forget(a.attemptRef)
-		p.core.Post(func() { p.core.answered(p, a.attemptRef, body) })
+		p.core.Post(func() { p.core.answered(c, a.attemptRef, body) })
 	})
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -266,6 +266,8 @@
 
 func (s *multiConnServer) Announces(string) bool { return false }
 
+func (s *multiConnServer) Endpoint(addr string) string { return addr }
+
 func (s *multiConnServer) Dial(ctx context.Context, addr string, e ServerEvents) (ServerConn, error) {
 	if s.dialError != nil {
 		return nil, s.dialError
