Answer a SIP set-up whose cancel the core has seen before its withdrawal

Cause: the core asks Caller.Gone before it begins an attempt and withdraws the call by itself. The withdrawal that follows then finds no call and reports that it came too late, and the agent sent 487 only where it came in time.

Change: the agent asks its own record: a set-up that is still pending when the withdrawal has been handled has no final answer. Final answers are posted to the agent before, so none can cross. The same for set-ups whose connection the caller has closed.

TestCancelAheadOfTheCoreIsAnswered failed before over both transports.

--- a/internal/protocol/sip/agent_retry_test.go
+++ b/internal/protocol/sip/agent_retry_test.go
@@ -171,3 +171,25 @@
 		}
 	})
 }
+
+// Guards against a set-up without a final response: its CANCEL is known before the core takes it, so that the core withdraws the call by
+// itself, ahead of the withdrawal.
+func TestCancelAheadOfTheCoreIsAnswered(t *testing.T) {
+	forEachTransport(t, func(t *testing.T, proto string) {
+		server := New(t, answering)
+		b := newFixture(t, 2*time.Second, host("s-1", server.URI(proto), 0))
+		taken := make(chan struct{})
+		b.core.Post(func() { <-taken })
+		caller := New(t, nil)
+		invite := caller.Invite(proto, "abc", "4711", "offer")
+		send := caller.Send(proto, b.agent.Addr(proto), invite)
+		caller.Wait("100", Status(100, "INVITE"))
+		send(cancelOf(invite))
+		caller.Wait("200 to CANCEL", Status(200, "CANCEL"))
+		close(taken)
+		caller.Wait("487", Status(487, "INVITE"))
+		if n := server.Count(IsMethod("INVITE")); n != 0 {
+			t.Errorf("%d set-ups reached the server", n)
+		}
+	})
+}
--- a/internal/protocol/sip/flow.go
+++ b/internal/protocol/sip/flow.go
@@ -186,14 +186,7 @@
 func (a *Agent) withdrawCalls(c *transport.Conn) {
 	for tx, call := range a.pendingCalls {
 		if call.conn == c {
-			a.core.Withdraw(call.id, call, func(inTime bool) {
-				if inTime {
-					a.Post(func() {
-						call.removePending()
-						tx.end()
-					})
-				}
-			})
+			a.core.Withdraw(call.id, call, func(bool) { call.endPending(tx.end) })
 		}
 	}
 }
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -156,9 +156,18 @@
 		return
 	}
 	call.cancelled.Store(true)
-	a.core.Withdraw(call.id, call, func(inTime bool) {
-		if inTime {
-			call.respondError(487, "Request Terminated", nil)
+	a.core.Withdraw(call.id, call, func(bool) {
+		call.endPending(func() { call.tx.respond(call.response(487, "Request Terminated")) })
+	})
+}
+
+// endPending ends a set-up that has been withdrawn, unless a final answer of the core was posted before. The core may have withdrawn the
+// call by itself, because Gone reported that the caller has left.
+func (call *uasCall) endPending(end func()) {
+	call.agent.Post(func() {
+		if call.agent.pendingCalls[call.tx] == call {
+			call.removePending()
+			end()
 		}
 	})
 }
