Release a call whose release by the server overtook its answer

The server answers a set-up, its connection is held up, and the release arrives first on another one: the caller is told that the call stands, and never that it is over.

Cause: the core forgot a server's release of a call that was not established yet, although the connection had confirmed it. Messages of one call come on several connections, and nothing orders them.

Change: the attempt in flight at that server keeps the release, and the answer is followed by it at once. Without an answer it concerns nobody, as before. Where the release may be that of an earlier attempt of the call, the server is sent one too.

TestReleaseThatOvertakesItsAnswer and TestReleaseOfAnEarlierAttemptOvertakesTheAnswer failed before.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -112,12 +112,27 @@
 	c.note(history.Event{Kind: history.Established, Call: call.ID, Attempt: a.number, Server: a.server, Span: call.establishedAt - call.arrived})
 	delivered := call.caller.Answer(body)
 	c.handle(control.CallEstablished{ID: call.ID, Attempt: a.number, Server: a.server, Elapsed: call.establishedAt - a.sentAt})
-	if !delivered && c.calls[call.ID] == call {
-		c.releaseEstablished(call, CauseNormal)
+	if c.calls[call.ID] == call {
+		switch {
+		case a.overtaken != nil:
+			c.endOvertaken(call)
+		case !delivered:
+			c.releaseEstablished(call, CauseNormal)
+		}
 	}
 	c.checkDrained()
 }
 
+// endOvertaken ends a call that its server released before the answer arrived. If the release may have been that of an earlier attempt,
+// the server holds the call, and is sent its release.
+func (c *Core) endOvertaken(call *callState) {
+	a := call.current
+	if a.number > 0 {
+		a.peer.release(call.ID, CauseNormal)
+	}
+	c.endReleased(call, *a.overtaken)
+}
+
 // lateAnswer handles the answer to a set-up that was given up: the call is released at the server, but not while another
 // attempt of the same call is in flight or established there. Servers identify a call by its id alone, so the release would
 // end that attempt as well.
@@ -181,6 +196,10 @@
 // the call because its answer to an earlier attempt was lost releases only that attempt.
 func (c *Core) released(on *peerConn, id string, cause int, report []float64) {
 	call, p := c.calls[id], on.peer
+	if call != nil && !call.established && call.current != nil && call.current.peer.sameServer(p) {
+		call.current.overtaken = &serverRelease{cause, report}
+		return
+	}
 	if call == nil || !call.established || !call.current.peer.sameServer(p) {
 		if report != nil {
 			c.noteReport(p.server, report)
@@ -195,11 +214,16 @@
 	if answeredOn := call.current.answeredOn; answeredOn.peer == p { // the process that released it is the one that answered it
 		p.Post(func() { p.processes.Confirm(answeredOn.number, on.number) })
 	}
+	c.endReleased(call, serverRelease{cause, report})
+}
+
+// endReleased ends an established call that its server has released.
+func (c *Core) endReleased(call *callState, release serverRelease) {
 	code := control.OK
-	if cause != CauseNormal {
+	if release.cause != CauseNormal {
 		code = control.Cut
 	}
-	c.endEstablished(call, code, cause, report)
+	c.endEstablished(call, code, release.cause, release.report)
 }
 
 // endEstablished ends an established call on behalf of its server and releases it at the caller.
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -74,6 +74,14 @@
 	givenUp *atomic.Bool // set once the attempt is given up: nothing of it is written after that
 	// answeredOn is the connection that carried the answer. It is set once the call is established.
 	answeredOn *peerConn
+	// overtaken is the server's release of the call, if that has arrived before the answer: they may come on different connections.
+	overtaken *serverRelease
+}
+
+// serverRelease is the release of an established call by its server.
+type serverRelease struct {
+	cause  int
+	report []float64
 }
 
 // callState is a call in the core's table.
--- a/internal/routing/established_test.go
+++ b/internal/routing/established_test.go
@@ -164,3 +164,53 @@
 		require.False(t, waiting.established)
 	})
 }
+
+// Guards against a call that is answered to its caller and never released: the server's release, on another connection, overtakes the
+// answer. If the answer never comes, the release concerns nobody.
+func TestReleaseThatOvertakesItsAnswer(t *testing.T) {
+	for _, cause := range []int{CauseNormal, CauseFailed} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness("a")
+			defer h.stop()
+			caller, unanswered := h.call("1", 3*time.Second), h.call("2", time.Second)
+			server := h.servers["a"]
+			for _, id := range []string{"1", "2"} {
+				server.events.Released(id, cause, nil)
+				server.events.Released(id, cause, nil) // repeated on the next connection
+			}
+			h.sleep(300 * time.Millisecond)
+			require.Zero(t, caller.finalAnswers)
+			server.answer("1", "body")
+			h.sleep(2 * time.Second)
+			require.True(t, caller.established)
+			require.Equal(t, 1, caller.releases)
+			require.Zero(t, server.releasesReceived["1"], "the server has ended the call")
+			require.Equal(t, 1, unanswered.finalAnswers)
+			require.False(t, unanswered.established)
+		})
+	}
+}
+
+// Guards against a call that stays open at its server: the release that overtakes the answer is that of an earlier attempt there.
+func TestReleaseOfAnEarlierAttemptOvertakesTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a")
+		defer h.stop()
+		h.maxConns = 2
+		caller := h.call("1", 3*time.Second)
+		server := h.servers["a"]
+		h.core.Post(func() {
+			call := h.core.calls["1"]
+			h.core.endAttempt(call, control.TimedOut, false)
+			h.core.send(call, control.Action{ID: "1", Server: h.list.hosts["a"].id})
+		})
+		synctest.Wait()
+		require.Contains(t, server.inFlight, "1", "the second attempt")
+		server.events.Released("1", CauseNormal, nil)
+		server.answer("1", "body")
+		h.sleep(time.Second)
+		require.True(t, caller.established)
+		require.Equal(t, 1, caller.releases)
+		require.Equal(t, 1, server.releasesReceived["1"])
+	})
+}
