Pass on SIP servers' releases of calls from before a restart to JSON callers

Cause: a restored dialog has no connection, so the agent handed the server's BYE to the dialog of a SIP caller with the same id, if there is one, and else dropped it after the 200.

Change: the agent passes the release to the core, which passes it on as it does those of the platform's servers: to a SIP caller's dialog, else to the JSON front, and once.

TestSIPServersReleaseReachesAJSONCallerAfterARestart failed before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -190,6 +190,39 @@
 	caller.Wait("BYE", siptest.IsMethod("BYE"))
 }
 
+// Guards against a SIP server's release that is confirmed and dropped after a restart: its call's caller speaks JSON lines, and so has no
+// dialog of its own.
+func TestSIPServersReleaseReachesAJSONCallerAfterARestart(t *testing.T) {
+	const id, other = "0000000000000001", "0000000000000002"
+	server := siptest.New(t, answerAfter(0))
+	update := routing.Update{Complete: true, Hosts: []routing.Host{{Name: "a", Addr: server.URI("UDP"), State: control.Ready}}}
+	establish := func(n *Node, id string) chan string {
+		messages := make(chan string, 9)
+		client := dialJSON(t, n, func(m map[string]any) { messages <- fmt.Sprint(m["msg"], " ", m["sid"]) })
+		sendSetup(client, id, "1", 2000)
+		require.Equal(t, "ready "+id, <-messages)
+		return messages
+	}
+	first := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0"})
+	first.applyAndWait(update)
+	establish(first, id)
+	invite := server.Wait("INVITE", siptest.IsMethod("INVITE"))
+	require.Eventually(t, func() bool { return len(first.store.List(dialogKey)) == 1 }, 5*time.Second, 10*time.Millisecond)
+	second := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0"})
+	second.applyAndWait(update)
+	require.NoError(t, second.agent.Restore(first.store.List(dialogKey)[0].Value))
+	first.agent.Close()
+	messages := establish(second, other)
+	bye := siptest.ServerBye(invite.Msg, server.Reply(invite.Msg, 200, "OK", ""), 16)
+	server.Send("UDP", second.agent.Addr("UDP"), bye)
+	select {
+	case m := <-messages:
+		require.Equal(t, "close "+id, m)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the caller has no release")
+	}
+}
+
 // An inventory imported into the store replaces the list; an invalid one leaves it unchanged.
 func TestImportedInventory(t *testing.T) {
 	n := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0"})
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -21,6 +21,8 @@
 	Withdraw(id string, caller routing.Caller, done func(inTime bool))
 	// Hangup ends a call from the caller's side. known reports whether the core knew the call. caller and done may be nil.
 	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
+	// ReleaseOrphan passes on a server's release of a call that was established before this process started, to its caller.
+	ReleaseOrphan(id string, cause int)
 	// CountMalformed counts a set-up that the agent refused without passing it to the core. class is the index of its class in the
 	// settings, or -1 if the class is unknown.
 	CountMalformed(class int)
--- a/internal/protocol/sip/agent_dialogs.go
+++ b/internal/protocol/sip/agent_dialogs.go
@@ -177,7 +177,5 @@
 		server.events.Released(d.ID, byeCause, parseReport(m.Get("X-Occupancy"), a.Reports))
 		return
 	}
-	if other := a.dialogsByID[d.ID+"/caller"]; other != nil {
-		a.hangup(other, byeCause)
-	}
+	a.core.ReleaseOrphan(d.ID, byeCause)
 }
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -205,9 +205,8 @@
 			c.noteReport(p.server, report)
 			c.handle(control.Status{Server: p.server, Code: control.OK, Report: report})
 		}
-		if _, known := c.ended.endOf(id); call == nil && !known && c.orphans != nil {
-			c.ended.add(id, c.clock.now())
-			c.orphans.Orphan(id, cause)
+		if call == nil {
+			c.releaseOrphan(id, cause)
 		}
 		return
 	}
@@ -217,6 +216,24 @@
 	c.endReleased(call, serverRelease{cause, report})
 }
 
+// ReleaseOrphan passes on a server's release of a call that the core may not know, to its caller. A repeated release is passed on once.
+func (c *Core) ReleaseOrphan(id string, cause int) {
+	c.Post(func() {
+		if c.calls[id] == nil {
+			c.releaseOrphan(id, cause)
+		}
+	})
+}
+
+// releaseOrphan passes on the release of a call that was established before this process started.
+func (c *Core) releaseOrphan(id string, cause int) {
+	if _, known := c.ended.endOf(id); known || c.orphans == nil {
+		return
+	}
+	c.ended.add(id, c.clock.now())
+	c.orphans.Orphan(id, cause)
+}
+
 // endReleased ends an established call that its server has released.
 func (c *Core) endReleased(call *callState, release serverRelease) {
 	code := control.OK
