Keep a server's release whose connection has ended by the time it is handled

Cause: a release that was read and confirmed (200) was dropped where the peer had removed its connection meanwhile. A menu server of the platform sends it again on its next connection; a SIP server, which has its 200, does not (review, by reading: a release on a connection of the server's own while the gatekeeper's is down). The call then stood for good.

Change: a release holds whatever became of its connection.

TestReleaseReadJustBeforeItsConnectionEnds failed before.

--- a/internal/routing/established_test.go
+++ b/internal/routing/established_test.go
@@ -191,6 +191,23 @@
 	}
 }
 
+// Guards against a release that is confirmed and dropped, because its connection has ended by the time it is handled.
+func TestReleaseReadJustBeforeItsConnectionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness("a")
+		defer h.stop()
+		caller := h.call("1", 3*time.Second)
+		server := h.servers["a"]
+		server.answer("1", "body")
+		synctest.Wait()
+		events := server.events
+		server.reset()
+		events.Released("1", CauseNormal, nil)
+		h.sleep(time.Second)
+		require.Equal(t, 1, caller.releases)
+	})
+}
+
 // Guards against a call that stays open at its server: the release that overtakes the answer is that of an earlier attempt there.
 func TestReleaseOfAnEarlierAttemptOvertakesTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -122,10 +122,14 @@
 	})
 }
 
-// Released implements ServerEvents.
+// Released implements ServerEvents. It holds also if the connection has ended meanwhile: the release has been confirmed, and a SIP server
+// may send it on a connection of its own.
 func (c *peerConn) Released(id string, cause int, report []float64) {
-	c.ifOpen(func(p *Peer) {
-		c.noteMessage()
+	p := c.peer
+	p.Post(func() {
+		if !c.closed {
+			c.noteMessage()
+		}
 		p.core.Post(func() { p.core.released(c, id, cause, report) })
 	})
 }
