--- a/internal/fleetcheck/established.go
+++ b/internal/fleetcheck/established.go
@@ -120,26 +120,26 @@
 // due returns by when the caller must have read the release of a call, and why; 0 if the call is not over.
 func (s *EstablishedCalls) due(call *establishedCall) (due control.Micros, why string) {
 	switch {
-	case call.serverReleasedAt > 0 && s.startedSince(call, call.establishedAt) && s.removedBetween(call.server, call.establishedAt, call.serverReleasedAt):
+	case call.serverReleasedAt > 0 && s.endedBy(call, call.serverReleasedAt) && s.removedBetween(call.server, call.establishedAt, call.serverReleasedAt):
 		// The gatekeeper does not know the call, which an earlier process set up, and has no connection to the server.
 	case call.serverReleasedAt > 0:
 		why = fmt.Sprintf("released by %s at %d ms", call.server, call.serverReleasedAt/1000)
 		link := linkName(call.gatekeeper, call.server)
-		if s.links.during(link, call.serverReleasedAt, call.serverReleasedAt+afterRelease) || s.startedSince(call, call.establishedAt) {
+		if s.links.during(link, call.serverReleasedAt, call.serverReleasedAt+afterRelease) || s.endedBy(call, call.serverReleasedAt+afterRelease) {
 			// The release was lost or waits for a connection: it comes with the next one, or the gatekeeper takes the server for lost.
 			healed := max(call.serverReleasedAt, s.links.lastEnd(link, s.now), s.lastStart(call))
 			return healed + afterLoss, why
 		}
 		return call.serverReleasedAt + afterRelease, why
-	case call.serverLostAt > 0 && !s.startedSince(call, call.establishedAt):
+	case call.serverLostAt > 0 && !s.endedBy(call, call.serverLostAt+afterLoss):
 		return call.serverLostAt + afterLoss, fmt.Sprintf("lost with %s at %d ms", call.server, call.serverLostAt/1000)
 	}
 	return 0, ""
 }
 
-// startedSince reports whether a call's gatekeeper was started again after a time: the new process does not know the call.
-func (s *EstablishedCalls) startedSince(call *establishedCall, at control.Micros) bool {
-	return s.lastStart(call) > at || s.down.during(call.gatekeeper, at, s.now)
+// endedBy reports whether the gatekeeper's process that set up a call ended by a time: the next one does not know the call.
+func (s *EstablishedCalls) endedBy(call *establishedCall, at control.Micros) bool {
+	return s.down.during(call.gatekeeper, call.establishedAt, at)
 }
 
 // removedBetween reports whether the list removed a server between two times.
