Play servers that are replaced at their address in the fleet laboratory and the soak

Change: fault `replace`: the machine of a server is lost, and another one has its address some time later under a host name of its own, which the list names after `listed`; the first is named as removed after `removed`, or never. The soak has it in a group of its own, with 0.3 to 7 s from the loss to the other's start and 0.2 to 6 s to its listing.

--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -79,7 +79,9 @@
 	}
 	capacities := map[uint32]float64{}
 	for i := range s.Servers {
-		capacities[uint32(i+1)] = lab.PlatformWork().Capacity()
+		for generation := range maxGenerations {
+			capacities[hostNumber(i, generation)] = lab.PlatformWork().Capacity()
+		}
 	}
 	if s.Fleet {
 		invariants = append(invariants, fleetcheck.NewRates(control.Micros(gossip.Topics[registers.Rates].MaxAge), control.Micros(counting.DecayTime)))
--- a/internal/fleetlab/faults.go
+++ b/internal/fleetlab/faults.go
@@ -75,6 +75,8 @@
 		return f.disturbServers(fault)
 	case "vanish":
 		return f.vanish(fault)
+	case "replace":
+		return f.replace(fault)
 	case "remove":
 		return f.remove(fault)
 	case "lie":
--- a/internal/fleetlab/links.go
+++ b/internal/fleetlab/links.go
@@ -67,6 +67,6 @@
 func (f *fleet) dials(from string) func(string) string {
 	return func(host string) string {
 		n, _ := strconv.ParseUint(strings.TrimPrefix(host, "s-"), 16, 32)
-		return f.addr[[3]string{from, script.Server(int(n) - 1), from}]
+		return f.addr[[3]string{from, script.Server(hostIndex(uint32(n))), from}]
 	}
 }
--- a/internal/fleetlab/script/draw.go
+++ b/internal/fleetlab/script/draw.go
@@ -121,6 +121,11 @@
 		if rng.IntN(3) > 0 {
 			f.Removed = Duration(f.For) / 2
 		}
+	case "replace":
+		f.Target, f.Listed = Server(rng.IntN(s.Servers)), Duration(whole(2, 25))*Duration(100*time.Millisecond)
+		if rng.IntN(2) == 0 {
+			f.Removed = f.For + Duration(time.Second)
+		}
 	case "ill":
 		f.Target, f.Part = Server(rng.IntN(s.Servers)), float64(whole(6, 10))/10
 	case "engaged":
--- a/internal/fleetlab/script/script.go
+++ b/internal/fleetlab/script/script.go
@@ -103,6 +103,7 @@
 	Rate      int      `yaml:"bytes_per_s,omitempty"` // bandwidth cap
 	Bytes     int      `yaml:"bytes,omitempty"`       // after which a connection is reset; 0: open connections are reset at once
 	Removed   Duration `yaml:"removed,omitempty"`     // after which the list names a vanished server as removed; 0: never
+	Listed    Duration `yaml:"listed,omitempty"`      // from the start of a server at the address of a vanished one until the list names it
 	How       string   `yaml:"how,omitempty"`         // one of vanishings: what new connections to a vanished server meet
 	KillAfter Duration `yaml:"kill_after,omitempty"`  // from SIGTERM to SIGKILL; 0: stopTimeout of the laboratory
 	Line      int      `yaml:"-"`                     // in the file, counted from 1
@@ -144,6 +145,7 @@
 	"slow":      {class: onServers, required: []string{"slow"}},
 	"drain":     {class: onServers},
 	"vanish":    {class: onServers, required: []string{"how"}, optional: []string{"removed"}, explicitOnly: true},
+	"replace":   {class: onServers, required: []string{"listed"}, optional: []string{"removed"}, explicitOnly: true},
 	"remove":    {class: onServers, explicitOnly: true},
 	"hang":      {class: onServers, explicitOnly: true},
 	"ill":       {class: onServers, required: []string{"part"}, explicitOnly: true},
@@ -448,7 +450,7 @@
 func (p *parser) fault(n *yaml.Node, path string, s *Script, valid bool) Fault {
 	f := Fault{Line: n.Line}
 	known := []string{"at", "for", "fault", "target", "from", "to", "state", "delay", "jitter", "part", "slow", "bytes_per_s", "bytes", "factor", "number",
-		"removed", "how", "kill_after"}
+		"removed", "listed", "how", "kill_after"}
 	values := p.mapping(n, path, known, func(key string, v *yaml.Node) {
 		switch key[strings.LastIndexByte(key, '.')+1:] {
 		case "at":
@@ -469,6 +471,8 @@
 			}
 		case "removed":
 			f.Removed = p.duration(key, v, MaxLength)
+		case "listed":
+			f.Listed = p.duration(key, v, MaxLength)
 		case "kill_after":
 			f.KillAfter = p.duration(key, v, 30*time.Second)
 		case "how":
--- a/internal/fleetlab/servers.go
+++ b/internal/fleetlab/servers.go
@@ -17,6 +17,8 @@
 	mu         sync.Mutex
 	s          *lab.Server   // current instance
 	instances  []*lab.Server // all instances, the current one last
+	vanished   []*lab.Server // instances whose address another one has; their connections stay open until the end
+	generation int           // of the machine that has the address; each has a host name of its own
 	since      time.Time     // start time on the event bus
 	state      string        // up, draining or lost
 	stopStatus func()        // ends its status reports
@@ -37,12 +39,18 @@
 	return nil
 }
 
-// hostName returns the host name of the server with the given index.
-func hostName(index int) string { return fmt.Sprintf("s-%08x", index+1) }
+// generationShift is where the generation stands in the number of a host name, above the server's index.
+const generationShift = 16
+
+// hostNumber returns the number of the host that runs as a generation of the server with the given index.
+func hostNumber(index, generation int) uint32 { return uint32(generation<<generationShift + index + 1) }
+
+// hostIndex returns the index of the server that a host runs as.
+func hostIndex(number uint32) int { return int(number&(1<<generationShift-1)) - 1 }
 
 // host returns the entry of a server on the event bus.
 func (f *fleet) host(srv *server) lab.Host {
-	return lab.Host{Name: hostName(srv.index), State: srv.state, Cell: srv.index, Zone: f.s.ZoneOf(srv.name), Since: srv.since}
+	return lab.Host{Name: fmt.Sprintf("s-%08x", hostNumber(srv.index, srv.generation)), State: srv.state, Cell: srv.index, Zone: f.s.ZoneOf(srv.name), Since: srv.since}
 }
 
 // startServer starts a new instance of a server and opens its listeners.
@@ -88,6 +96,9 @@
 		srv.mu.Lock()
 		srv.stopStatus()
 		srv.s.Close()
+		for _, s := range srv.vanished {
+			s.Close()
+		}
 		srv.mu.Unlock()
 	}
 }
--- a/internal/fleetlab/soak/draw.go
+++ b/internal/fleetlab/soak/draw.go
@@ -28,7 +28,10 @@
 	minPiece      = 100                     // bytes of a message that passes in pieces
 	maxPiece      = 400
 	maxPieceGapMs = 3
-	trialStream   = 0x736f616b // random stream that sets trials apart from other uses of the seed
+	trialStream   = 0x736f616b             // random stream that sets trials apart from other uses of the seed
+	minListed     = 210 * time.Millisecond // from the start of a server until the list names it
+	maxListed     = 6 * time.Second
+	removalAfter  = 14 * time.Second // from a silent loss until the list names the server as removed, at most
 	minServers    = 3
 	maxServers    = 6
 	minMembers    = 2
@@ -41,6 +44,7 @@
 // groups holds the kinds of faults by the name of their group.
 var groups = map[string][]string{
 	"shutdowns": {"term", "term", "kill", "pause", "hup"},
+	"replaced":  {"replace"},
 	"servers":   {"vanish", "vanish", "hang", "lose", "remove", "slow"},
 	"discovery": {"bus-silent", "bus-refuses", "bus-hangs", "bus-resets", "drain", "remove"},
 	"answers":   {"spoil"},
@@ -136,6 +140,9 @@
 	case "vanish":
 		f.Target, f.How = server, []string{script.MachineLost, script.ProcessHung}[d.rng.IntN(2)]
 		low, high = 7*time.Second, 14*time.Second
+	case "replace":
+		f.Target, f.Listed = server, script.Duration(d.span(minListed, maxListed))
+		low, high = 300*time.Millisecond, 7*time.Second
 	case "hang", "remove", "drain", "lose":
 		f.Target = server
 	case "slow":
@@ -200,5 +207,8 @@
 	if name == "vanish" && d.rng.IntN(3) > 0 {
 		f.Removed = f.For / 2
 	}
+	if name == "replace" && d.rng.IntN(2) > 0 {
+		f.Removed = script.Duration(d.span(minGap, removalAfter))
+	}
 	d.s.Faults = append(d.s.Faults, f)
 }
--- a/internal/fleetlab/vanish.go
+++ b/internal/fleetlab/vanish.go
@@ -97,3 +97,55 @@
 		}
 	}
 }
+
+// maxGenerations bounds the machines that one after another have the address of one server.
+const maxGenerations = 64
+
+// replace makes the machines of servers vanish, as vanish does. Undo starts another server at the address of each, under a host name of its
+// own, and the list names it some time later. It goes on naming the first, or names it as removed at some time.
+func (f *fleet) replace(fault script.Fault) func(context.Context) {
+	affected := f.upServers(fault.Target, stateLost)
+	for _, srv := range affected {
+		srv.mu.Lock()
+		srv.stopStatus()
+		f.setServerMode(srv, relay.Lost)
+		srv.s.Vanish()
+		first := f.host(srv)
+		srv.mu.Unlock()
+		if fault.Removed > 0 {
+			first.State = stateRemoved
+			time.AfterFunc(time.Duration(fault.Removed), func() { f.bus.Change(first) })
+		}
+	}
+	return func(context.Context) {
+		for _, srv := range affected {
+			if err := f.startReplacement(srv, time.Duration(fault.Listed)); err != nil {
+				f.fail(err)
+			}
+		}
+	}
+}
+
+// startReplacement starts another server at the address of one that has vanished, whose connections stay open and silent.
+func (f *fleet) startReplacement(srv *server, listedAfter time.Duration) error {
+	srv.mu.Lock()
+	vanished := srv.s
+	srv.mu.Unlock()
+	if err := f.startServer(srv); err != nil {
+		return err
+	}
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.vanished = append(srv.vanished, vanished)
+	srv.s.StartCold(startCapacity, warmUpTime)
+	srv.generation++
+	srv.since = time.Now()
+	f.setServerMode(srv, relay.Open)
+	time.AfterFunc(listedAfter, func() {
+		srv.mu.Lock()
+		defer srv.mu.Unlock()
+		srv.state = "up"
+		f.publish(srv)
+	})
+	return nil
+}
