Keep two processes from writing one store folder during a hand-over

Cause: the new process starts beside the old one and opens the same folder. Both lead a group of one and append to one file, each numbering entries and sizes by its own memory.

Change: the files of a member are a generation, locked by the process that writes them (flock). Rejected: waiting for the lock (the old process ends only after the new one is ready); a store in memory until the old one ends (a kill loses it).

TestDamagedLogIsRefused compares the file's name with links resolved: the same file, named by its generation.

--- a/internal/store/durable_test.go
+++ b/internal/store/durable_test.go
@@ -211,6 +211,9 @@
 	}
 	text[len(text)/2] ^= 1
 	os.WriteFile(file, text, 0o600)
+	if file, err = filepath.EvalSymlinks(file); err != nil {
+		t.Fatal(err)
+	}
 	_, err = Open(Options{Node: "a", Dir: dir, Log: discardLogger()})
 	var damage *journal.DamageError
 	if !errors.As(err, &damage) || damage.File != file || damage.Offset == 0 || strings.Contains(err.Error(), "\n") {
--- a/internal/store/inspect.go
+++ b/internal/store/inspect.go
@@ -36,7 +36,7 @@
 	}
 	h.Log = stats
 	if len(logs) > 0 && logs[0].Index > h.Snapshot+1 {
-		return nil, &journal.DamageError{File: filepath.Join(dir, "snapshots"),
+		return nil, &journal.DamageError{File: filepath.Join(dir, snapshotsName),
 			Reason: fmt.Sprintf("entries %d to %d are neither in a snapshot nor in the log", h.Snapshot+1, logs[0].Index-1)}
 	}
 	for _, l := range logs {
@@ -50,7 +50,7 @@
 
 // restoreSnapshot restores the newest snapshot into a machine. Raft's own checksum is verified on reading.
 func (h *Contents) restoreSnapshot(dir string, m *machine) error {
-	if _, err := os.Stat(filepath.Join(dir, "snapshots")); err != nil {
+	if _, err := os.Stat(filepath.Join(dir, snapshotsName)); err != nil {
 		return nil // no snapshots yet; listing them through raft would create the folder
 	}
 	s, err := raft.NewFileSnapshotStoreWithLogger(dir, retainedSnapshots, hclog.NewNullLogger())
@@ -67,7 +67,7 @@
 		err = m.Restore(in)
 	}
 	if err != nil {
-		return &journal.DamageError{File: filepath.Join(dir, "snapshots", list[0].ID), Reason: err.Error()}
+		return &journal.DamageError{File: filepath.Join(dir, snapshotsName, list[0].ID), Reason: err.Error()}
 	}
 	return nil
 }
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -85,6 +85,7 @@
 	layer       *streamLayer
 	transport   io.Closer        // raft's transport; Close closes it
 	journal     *journal.Journal // nil if the log is in memory
+	folder      *folder          // nil if the log is in memory
 	via         map[string]string
 	started     chan struct{} // closed once raft has started; connections may arrive earlier
 	logs        raft.LogStore
@@ -145,9 +146,7 @@
 	r, err := n.start(c, o, transport)
 	if err != nil {
 		n.transport.Close()
-		if n.journal != nil {
-			n.journal.Close()
-		}
+		n.closeFiles()
 		return nil, err
 	}
 	n.raft = r
@@ -201,23 +200,34 @@
 	default:
 		return nil, fmt.Errorf("store: sync is %q, but must be %s or %s", o.Sync, SyncAlways, SyncInterval)
 	}
-	j, err := journal.Open(journal.Options{Dir: logDir(o.Dir), SyncEvery: syncEvery})
+	held, err := openFolder(o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	n.folder = held
+	j, err := journal.Open(journal.Options{Dir: logDir(held.dir), SyncEvery: syncEvery})
 	if err != nil {
 		return nil, err
 	}
 	n.journal, n.logs = j, j
 	if j.TruncatedBytes > 0 && o.Log != nil {
-		o.Log.WithFields(logrus.Fields{"dir": o.Dir, "bytes": j.TruncatedBytes}).Warn("store: discarded an incomplete write at the end of the log")
+		o.Log.WithFields(logrus.Fields{"dir": held.dir, "bytes": j.TruncatedBytes}).Warn("store: discarded an incomplete write at the end of the log")
 	}
-	snapshots, err := raft.NewFileSnapshotStoreWithLogger(o.Dir, retainedSnapshots, c.Logger)
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(held.dir, retainedSnapshots, c.Logger)
 	if err != nil {
 		return nil, err
 	}
 	return raft.NewRaft(c, n.fsm, j, j, snapshots, transport)
 }
 
-// logDir returns the folder of the journal within a store's folder; raft's snapshots folder is next to it.
-func logDir(dir string) string { return filepath.Join(dir, "log") }
+// Names of the folders of the journal and of raft's snapshots within a store's folder.
+const (
+	logName       = "log"
+	snapshotsName = "snapshots"
+)
+
+// logDir returns the folder of the journal within a store's folder.
+func logDir(dir string) string { return filepath.Join(dir, logName) }
 
 // Ready reports whether this member has caught up: it knows a leader and has applied all commands that were in its log when
 // the log was opened, and all that the leader has reported as committed. Until then a restarted member holds only its last
@@ -322,8 +332,16 @@
 	}
 	err := n.raft.Shutdown().Error()
 	n.transport.Close()
+	return errors.Join(err, n.closeFiles())
+}
+
+// closeFiles closes the journal and unlocks the folder.
+func (n *Node) closeFiles() (err error) {
 	if n.journal != nil {
-		err = errors.Join(err, n.journal.Close())
+		err = n.journal.Close()
+	}
+	if n.folder != nil {
+		err = errors.Join(err, n.folder.release())
 	}
 	return err
 }
