--- a/cmd/beammux/server_replaced_test.go
+++ b/cmd/beammux/server_replaced_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against calls left standing at a server that vanished while another one, which has taken its address, answers there: they must
-// be released within 8 s of the loss, whenever the other one starts and whatever the list says.
+// be released within 8 s of the loss, at any time of the other one's start and with any list.
 func TestCallsOfAServerReplacedAtItsAddress(t *testing.T) {
 	for _, c := range []struct {
 		name                    string
@@ -131,7 +131,7 @@
 	}
 }
 
-// Guards against a call that is cut although it stands at the server that has taken the address: it was set up there before the list
+// Guards against a call that is cut although it is established at the server that has taken the address: it was set up there before the list
 // named that server. Its release by the server must reach the caller.
 func TestCallSetUpBeforeItsServerIsListed(t *testing.T) {
 	t.Parallel()
@@ -157,8 +157,7 @@
 	f.caller.requireReleased(t, releaseLimit, established)
 }
 
-// Guards against calls that are cut at a server which runs: it is out of reach, or its process stands still, for some seconds, and then
-// goes on with the calls that it holds.
+// Guards against calls that are cut at a server which runs and holds them, after it has been out of reach for some seconds.
 func TestCallsOutliveAShortSilence(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/fleetlab/servers.go
+++ b/internal/fleetlab/servers.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-// generationShift is where the generation stands in the number of a host name, above the server's index.
+// generationShift is the number of bits for the server's index in the number of a host name; the generation is above them.
 const generationShift = 16
 
 // hostNumber returns the number of the host that runs as a generation of the server with the given index.
--- a/internal/fleetlab/vanish.go
+++ b/internal/fleetlab/vanish.go
@@ -102,7 +102,7 @@
 const maxGenerations = 64
 
 // replace makes the machines of servers vanish, as vanish does. Undo starts another server at the address of each, under a host name of its
-// own, and the list names it some time later. It goes on naming the first, or names it as removed at some time.
+// own, and the list names it some time later. The first stays on the list, or is removed from it at some time.
 func (f *fleet) replace(fault script.Fault) func(context.Context) {
 	affected := f.upServers(fault.Target, stateLost)
 	for _, srv := range affected {
--- a/internal/routing/replacement.go
+++ b/internal/routing/replacement.go
@@ -7,7 +7,7 @@
 )
 
 // One process at a time listens at an address. A server whose address the list gives to another server has therefore ended, even if
-// the list still names it: whatever answers at the address is the other server.
+// the list still names it: a process that answers at the address is the other server's.
 
 // replacedHost is a server that the list still names, but whose address it has given to another server.
 type replacedHost struct {
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -12,7 +12,7 @@
 )
 
 // The files of one member are written by one process at a time, which has locked them. While a gatekeeper is handed over to a second
-// process, that one starts beside the first: it goes on with a copy of the files, and later starts use that copy. What the first writes
+// process, that one starts beside the first: it continues on a copy of the files, and later starts use that copy. What the first writes
 // after that is not in it.
 //
 // A member's folder holds a folder for each generation of the files, and symbolic links: current to the generation in use, and log and
--- a/internal/store/folder_test.go
+++ b/internal/store/folder_test.go
@@ -19,7 +19,7 @@
 	}, 10*time.Second, 5*time.Millisecond, key)
 }
 
-// Guards against two processes that write one log during a hand-over, after which the store did not start again: the second goes on with
+// Guards against two processes that write one log during a hand-over, after which the store did not start again: the second continues on
 // a copy, which the next start uses too, also after several hand-overs.
 func TestFolderDuringHandOvers(t *testing.T) {
 	dir := t.TempDir()
