Owe callers nothing once they have left at the end of a trial

Those releases nobody can read; the trace has them in the last seconds alone, "released by s2 … its caller read no release".

Change: the laboratory records when its callers leave, and a release that is due later is not judged. What is due before is, as the new cases of TestEstablishedCalls hold.

--- a/internal/fleetcheck/established.go
+++ b/internal/fleetcheck/established.go
@@ -30,6 +30,7 @@
 	removedAt    map[string]control.Micros // by server that the list has removed
 	started      map[string][]control.Micros
 	answeredBy   map[string]string // last server that answered a call
+	callersLeft  control.Micros    // 0: not yet
 }
 
 // establishedCall is a call that was established for its caller.
@@ -68,6 +69,8 @@
 		s.paused.end(e.Process, e.At)
 	case LinkFaulty, LinkHealed:
 		s.links.event(e)
+	case CallersLeft:
+		s.callersLeft = e.At
 	case Listed:
 		if e.What == "removed" {
 			s.removedAt[e.Process] = e.At
@@ -100,7 +103,8 @@
 func (s *EstablishedCalls) End(report func(Evidence)) {
 	for _, call := range s.calls {
 		due, why := s.due(call)
-		if due == 0 || s.excused(call, due) {
+		readable := s.callersLeft == 0 || due < s.callersLeft
+		if due == 0 || !readable || s.excused(call, due) {
 			continue
 		}
 		switch {
--- a/internal/fleetcheck/established_test.go
+++ b/internal/fleetcheck/established_test.go
@@ -64,6 +64,9 @@
 			timed(1000, Event{Kind: Listed, Process: "s1", What: "removed"}), released(2000)}, false},
 		{"server removed before it released", []Event{timed(1000, Event{Kind: Listed, Process: "s1", What: "removed"}), released(2000)}, true},
 		{"started since, server still listed", []Event{timed(500, Event{Kind: Stopped, Process: "g1"}), timed(900, Event{Kind: Ready, Process: "g1"}), released(2000)}, true},
+		{"callers left before it was due", []Event{released(1000), timed(2149, Event{Kind: CallersLeft})}, false},
+		{"callers left after it was due", []Event{released(1000), timed(2151, Event{Kind: CallersLeft})}, true},
+		{"server lost, callers left after it was due", []Event{lost(1000), timed(9151, Event{Kind: CallersLeft})}, true},
 		{"gatekeeper killed", []Event{released(1000), timed(1100, Event{Kind: Stopped, Process: "g1"})}, false},
 	} {
 		events := append(append(append([]Event(nil), established...), c.events...), end)
--- a/internal/fleetcheck/fleetcheck.go
+++ b/internal/fleetcheck/fleetcheck.go
@@ -57,12 +57,13 @@
 	ServerLost                          // server Process was lost with Call established or in progress
 	ServerSetup                         // a set-up of Call arrived whole at server Process, from gatekeeper Peer
 	Listed                              // the list of servers names Process in state What: up, draining or removed
+	CallersLeft                         // the trial is over: all callers close their connections
 	kindCount
 )
 
 var kindNames = [kindCount]string{"", "ready", "asked", "stopped", "crashed", "paused", "woken", "troubled", "healed", "logged", "tried",
 	"stood", "refused", "failed", "second", "expired", "broken", "unsent", "given", "fault from", "fault to", "viewed", "heard", "limited", "moved", "judged", "late", "delayed", "changed",
-	"gave up", "released", "server released", "server lost", "server setup", "listed"}
+	"gave up", "released", "server released", "server lost", "server setup", "listed", "callers left"}
 
 // String returns the name of the kind as written to event files.
 func (k Kind) String() string {
--- a/internal/fleetlab/fleet.go
+++ b/internal/fleetlab/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"beammux/internal/fleetcheck"
 	"beammux/internal/fleetlab/script"
 	"beammux/internal/lab"
 	"beammux/internal/relay"
@@ -167,7 +168,10 @@
 	calls, disconnectCallers := context.WithCancel(context.Background())
 	var background sync.WaitGroup
 	defer background.Wait()
-	defer disconnectCallers()
+	defer func() {
+		f.runs.record(fleetcheck.CallersLeft, line{})
+		disconnectCallers()
+	}()
 	f.callers = lab.NewCallers(f.load())
 	for i, g := range f.gatekeepers {
 		background.Go(func() {
