List all servers that one update names at an address where no start tells them apart

TestFigures lists seven servers of one address in one inventory, of which one was left; nothing in such a list says that any of them has gone. TestLogBytes walked the folder `log`, which is a link since the store keeps generations.

Change: a server newly named takes its address from those that an earlier update named, or that started earlier; servers of one update without different starts are all listed, as before. The measurement resolves the link.

Two cases of TestLaterServerTakesTheAddress; TestFigures and TestLogBytes pass.

--- a/internal/capacity/slopes/commits.go
+++ b/internal/capacity/slopes/commits.go
@@ -137,6 +137,9 @@
 
 // dirSize returns the total size of the files below a directory.
 func dirSize(dir string) (bytes int64, err error) {
+	if dir, err = filepath.EvalSymlinks(dir); err != nil { // a walk does not follow a link to its root
+		return 0, err
+	}
 	err = filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() {
 			return err
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -36,8 +36,8 @@
 	dialer    Dialer
 	log       logrus.FieldLogger
 	hosts     map[string]*listedHost
-	holders   map[string]*listedHost  // by the endpoint of their address
-	replaced  map[string]replacedHost // servers whose address another server has, by name
+	holders   map[string][]*listedHost // by the endpoint of their address
+	replaced  map[string]replacedHost  // servers whose address another server has, by name
 	namesByID map[uint32]string
 }
 
@@ -53,7 +53,7 @@
 // NewList returns an empty list that reports its changes to core.
 func NewList(core *Core, dialer Dialer, log logrus.FieldLogger) *List {
 	return &List{Actor: actor.New(), core: core, dialer: dialer, log: log, hosts: map[string]*listedHost{},
-		holders: map[string]*listedHost{}, replaced: map[string]replacedHost{}, namesByID: map[uint32]string{}}
+		holders: map[string][]*listedHost{}, replaced: map[string]replacedHost{}, namesByID: map[uint32]string{}}
 }
 
 // End stops the list and its peers and closes their connections. Established calls are left alone, without any
@@ -81,6 +81,7 @@
 // listChange collects the changed entries of one update for the module.
 type listChange struct {
 	list    *List
+	named   map[string]bool // servers that the update names
 	entries []control.Entry
 }
 
@@ -92,17 +93,16 @@
 
 // apply applies a change to the list and passes the changed entries to the module.
 func (l *List) apply(u Update) {
-	change := &listChange{list: l}
-	named := map[string]bool{}
+	change := &listChange{list: l, named: map[string]bool{}}
 	for _, h := range u.Hosts {
-		named[h.Name] = true
+		change.named[h.Name] = true
 		l.removeMoved(h, change)
 	}
 	for _, h := range u.Hosts {
 		l.applyHost(u.Source, h, change)
 	}
 	if u.Complete {
-		l.removeUnnamed(u.Source, named, change)
+		l.removeUnnamed(u.Source, change)
 	}
 	l.listAgain(change)
 	peers := map[uint32]*Peer{}
@@ -117,14 +117,14 @@
 }
 
 // removeUnnamed removes the servers of a source that its complete list does not name.
-func (l *List) removeUnnamed(source string, named map[string]bool, change *listChange) {
+func (l *List) removeUnnamed(source string, change *listChange) {
 	for name, old := range l.hosts {
-		if old.source == source && !named[name] {
+		if old.source == source && !change.named[name] {
 			l.remove(old, change)
 		}
 	}
 	for name, old := range l.replaced {
-		if old.source == source && !named[name] {
+		if old.source == source && !change.named[name] {
 			delete(l.replaced, name)
 		}
 	}
@@ -151,8 +151,9 @@
 	entry := l.hosts[h.Name]
 	if entry == nil {
 		entry = l.newEntry(h)
-		l.replaceHolder(h, entry, change)
-		l.hosts[h.Name], l.holders[entry.peer.endpoint] = entry, entry
+		l.replaceHolders(h, entry, change)
+		l.hosts[h.Name] = entry
+		l.holders[entry.peer.endpoint] = append(l.holders[entry.peer.endpoint], entry)
 	} else if h.Since != entry.Since {
 		entry.since = l.core.clock.fromUnix(h.Since)
 		if h.Since > entry.Since { // the process was restarted: calls established at the old one have ended
@@ -180,7 +181,7 @@
 // remove removes a server from the list and ends its peer.
 func (l *List) remove(h *listedHost, change *listChange) {
 	delete(l.hosts, h.Name)
-	delete(l.holders, h.peer.endpoint)
+	l.removeHolder(h)
 	h.peer.setState(control.Gone)
 	change.add(h.Name, control.Entry{Server: h.id, Cell: h.Cell, State: control.Gone, Since: h.since})
 }
--- a/internal/routing/replacement.go
+++ b/internal/routing/replacement.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"beammux/control"
@@ -26,30 +28,42 @@
 		}
 		delete(l.replaced, h.Name)
 	}
-	holder := l.holders[l.dialer.Endpoint(h.Addr)]
-	if holder == nil || holder.Name == h.Name || h.Since >= holder.Since {
-		return false
+	for _, holder := range l.holders[l.dialer.Endpoint(h.Addr)] {
+		if holder.Name != h.Name && h.Since < holder.Since {
+			l.replaced[h.Name] = replacedHost{h, source, holder.Since}
+			return true
+		}
+	}
+	return false
+}
+
+// replaceHolders removes the servers that were listed at the address of a new entry: the new server has it now. Where one update names
+// several servers at an address and nothing tells which started last, all of them are listed.
+func (l *List) replaceHolders(h Host, entry *listedHost, change *listChange) {
+	for _, old := range slices.Clone(l.holders[entry.peer.endpoint]) {
+		if old.Since == h.Since && change.named[old.Name] {
+			continue
+		}
+		l.log.WithFields(logrus.Fields{"server": old.Name, "address": old.Addr, "by": h.Name}).Info("server replaced at its address")
+		l.replaced[old.Name] = replacedHost{old.Host, old.source, h.Since}
+		old.peer.replaceBy(entry.peer, entry.since)
+		l.remove(old, change)
 	}
-	l.replaced[h.Name] = replacedHost{h, source, holder.Since}
-	return true
 }
 
-// replaceHolder removes the server that was listed at the address of a new entry: the new server has it now.
-func (l *List) replaceHolder(h Host, entry *listedHost, change *listChange) {
-	old := l.holders[entry.peer.endpoint]
-	if old == nil {
-		return
+// removeHolder removes a server from those at its address.
+func (l *List) removeHolder(h *listedHost) {
+	endpoint := h.peer.endpoint
+	l.holders[endpoint] = slices.DeleteFunc(l.holders[endpoint], func(o *listedHost) bool { return o == h })
+	if len(l.holders[endpoint]) == 0 {
+		delete(l.holders, endpoint)
 	}
-	l.log.WithFields(logrus.Fields{"server": old.Name, "address": old.Addr, "by": h.Name}).Info("server replaced at its address")
-	l.replaced[old.Name] = replacedHost{old.Host, old.source, h.Since}
-	old.peer.replaceBy(entry.peer, entry.since)
-	l.remove(old, change)
 }
 
 // listAgain lists the replaced servers whose address is free again, unless the server that had it started later than they did.
 func (l *List) listAgain(change *listChange) {
 	for name, old := range l.replaced {
-		if l.holders[l.dialer.Endpoint(old.Addr)] == nil && old.Since >= old.since {
+		if len(l.holders[l.dialer.Endpoint(old.Addr)]) == 0 && old.Since >= old.since {
 			delete(l.replaced, name)
 			l.applyHost(old.source, old.Host, change)
 		}
--- a/internal/routing/replacement_test.go
+++ b/internal/routing/replacement_test.go
@@ -43,6 +43,9 @@
 		{"the first moved", [][]Host{{a}, {b}, {elsewhere}}, []string{"s-a", "s-b"}},
 		{"moved in the same update", [][]Host{{a}, {b, elsewhere}}, []string{"s-a", "s-b"}},
 		{"no start known", [][]Host{{a}, {{Name: "s-c", Addr: "x", State: control.Ready}}, {a}}, []string{"s-c"}},
+		{"no start known, in one update", [][]Host{{a, {Name: "s-c", Addr: "x", State: control.Ready}}, {a, {Name: "s-c", Addr: "x", State: control.Ready}}},
+			[]string{"s-a", "s-c"}},
+		{"no start known, in one update, then a later start", [][]Host{{a, {Name: "s-c", Addr: "x", State: control.Ready}}, {b}}, []string{"s-b"}},
 		{"no start known, removed", [][]Host{{a}, {{Name: "s-c", Addr: "x", State: control.Ready}}, {{Name: "s-c", State: control.Gone}}}, []string{"s-a"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
