Keep bytes of a lost machine back once another has its address in the test network

A report of the vanished server that was on its way as its link was set to Lost waited in the relay, and was forwarded when the link was opened for the next server, 3 s later. The gatekeeper took it for a sign of life, as it must, and counted its 6 s from there.

No check or bound changes.

A link whose machine is lost now keeps its open connections silent for good once another machine serves at the address. TestLostMachineIsReplaced fails without it.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -142,7 +142,8 @@
 	return l.rng.Float64()
 }
 
-// setTarget sets the address at which To serves; an empty address means that To is down.
+// setTarget sets the address at which To serves; an empty address means that To is down. Connections to a lost machine stay silent for
+// good once another machine serves.
 func (l *Link) setTarget(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -151,6 +152,11 @@
 			c.Close()
 			delete(l.returnPaths, key)
 		}
+		if l.mode == Lost && addr != "" {
+			for p := range l.pairs {
+				p.abandoned.Store(true)
+			}
+		}
 	}
 	l.target = addr
 	l.updateListener()
@@ -268,6 +274,7 @@
 	mu        sync.Mutex
 	far       *net.TCPConn // socket to To; nil until dialled
 	forwarded atomic.Int64 // bytes, both directions together
+	abandoned atomic.Bool  // it led to a lost machine whose address another one has taken: nothing passes any more
 	once      sync.Once
 	done      chan struct{}
 }
@@ -453,13 +460,13 @@
 	}
 }
 
-// waitUntil blocks until a time, and beyond it while the direction is cut or the link is a black hole. It returns false if the
-// pair is closed first.
+// waitUntil blocks until a time, and beyond it while the direction is cut, the link is a black hole or the machine is lost. It returns
+// false if the pair is closed first.
 func (p *pair) waitUntil(d *direction, at time.Time) bool {
 	for {
 		c, changed := d.now()
 		_, mode := p.link.connectTarget()
-		if !c.Cut && mode != BlackHole && mode != Lost {
+		if !c.Cut && mode != BlackHole && mode != Lost && !p.abandoned.Load() {
 			wait := time.Until(at)
 			if wait <= 0 {
 				select {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -221,6 +221,26 @@
 	roundTrip(t, dial(t, l), "after")
 }
 
+// Guards against bytes of a lost machine that arrive after another one has taken its address.
+func TestLostMachineIsReplaced(t *testing.T) {
+	n, l := network(t)
+	n.Up("b", "", echo(t))
+	open := dial(t, l)
+	roundTrip(t, open, "before")
+	// The echo is held at the machine's end of the link.
+	n.Cut([]string{"b"}, []string{"a"}, true)
+	io.WriteString(open, "during")
+	time.Sleep(50 * time.Millisecond)
+	n.SetMode("a", "b", Lost)
+	n.Cut([]string{"b"}, []string{"a"}, false)
+	n.Up("b", "", echo(t))
+	n.SetMode("a", "b", Open)
+	roundTrip(t, dial(t, l), "after")
+	if !silent(open) {
+		t.Fatal("bytes of the lost machine arrive")
+	}
+}
+
 // Data and the end of the stream arrive complete and in order for any write sizes and any jitter.
 func TestBytesPassUnchanged(t *testing.T) {
 	n, l := network(t)
