Send a release that is not confirmed on all open connections within one second

Callers whose connection ended as a server vanished, and who came again with probes alone, read their releases 8.6 to 9.2 s after the loss where other callers were connected; the limit is 8 s. The wait for a confirmation doubled with each copy, and was spent on one guess of a connection after another; one that had its copy already came before one that had none, if a set-up had come on it.

A release now goes out in rounds to connections on which it was not sent yet: 1, 2, 4, 8 and 16 copies, 400 ms after the first and then every 100 ms. A new connection has it in the next round.

--- a/cmd/beammux/established_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -25,6 +25,8 @@
 const (
 	releaseLimit = time.Second + 50*time.Millisecond
 	endLimit     = 8*time.Second + 50*time.Millisecond
+	// comeAgainLimit is the stricter target where the caller has come again: 6.5 s to detect the loss and 1 s to deliver.
+	comeAgainLimit = 7500 * time.Millisecond
 )
 
 // menuServer is a menu server whose every step a test decides. It accepts each set-up at once, and sends its state on each new
@@ -456,6 +458,38 @@
 	second.requireReleased(t, releaseLimit, ids[0])
 }
 
+// Guards against releases that come late where a server vanishes while the caller's connection ends: the caller has come again and sends
+// only probes, and the connections of other callers look more likely.
+func TestReleasesOfALostServerReachACallerThatComesAgain(t *testing.T) {
+	for _, others := range []int{0, 2, 8} {
+		t.Run(fmt.Sprintf("%d other callers", others), func(t *testing.T) {
+			t.Parallel()
+			s := startCallFixture(t, 500*time.Millisecond)
+			ids := callIDs(3 + others)
+			for i := range others {
+				other, err := net.Dial("tcp", s.addr)
+				require.NoError(t, err)
+				t.Cleanup(func() { other.Close() })
+				(&caller{conn: other}).open(t, ids[3+i])
+				_, err = bufio.NewReader(other).ReadString('\n')
+				require.NoError(t, err)
+				go io.Copy(io.Discard, other)
+			}
+			first := dialCaller(t, s.addr)
+			for _, id := range ids[:3] {
+				first.establish(t, id)
+			}
+			time.Sleep(2 * time.Second)
+			s.silenceServer(silences[0])
+			lost := time.Now()
+			first.conn.Close()
+			second := dialCaller(t, s.addr)
+			io.WriteString(second.conn, `{"msg":"probe","sid":"00000000000000ff","attrs":{},"code":0}`+"\n")
+			second.requireReleased(t, time.Until(lost.Add(comeAgainLimit)), ids[:3]...)
+		})
+	}
+}
+
 // Guards against a release that is written in the moment in which its connection ends: the server has not seen the end yet, while the
 // gatekeeper has already opened its next connection. The server writes it on the one after that, which must come in time.
 func TestReleaseWrittenAsItsConnectionEnds(t *testing.T) {
--- a/internal/protocol/jsonl/release.go
+++ b/internal/protocol/jsonl/release.go
@@ -16,21 +16,29 @@
 	releaseTimeout     = 8 * time.Second        // from the end of a call, for its release to reach its caller
 	maxPendingReleases = 4096                   // releases that are not confirmed
 	minConfirmWait     = 400 * time.Millisecond // for a confirmation, before a release is sent again; it doubles each time
+	roundInterval      = 100 * time.Millisecond // between rounds, while there are connections on which a release was not sent yet
+	maxRoundSize       = 16                     // copies of a release in one round
+	manyCopies         = 64                     // copies of a release after which its rounds are no longer frequent
+	maxSweepCopies     = 1024                   // releases that one sweep sends again; the others wait for the next
 	sweepInterval      = 100 * time.Millisecond // between looks at the releases that are not confirmed
 	enoughUnconfirmed  = 8                      // releases that expire without any confirmation, until none is expected any more
 )
 
-// release is the release of an established call on its way to a caller.
+// release is the release of an established call on its way to a caller. It is sent in rounds, first on the connection on which it most
+// likely arrives, then on up to twice as many others in each round, so that it reaches its caller soon whichever connection that is.
 type release struct {
 	id        string
 	data      []byte
+	setupConn *conn  // of the call's set-up; nil if it is not known
 	address   string // of the caller that set up the call; empty if it is not known
 	expires   time.Time
-	conn      *conn   // where it was sent last; nil while it waits for a connection
+	conn      *conn   // first connection of the last round; nil while the release waits for a connection
 	tried     []*conn // where it was sent
+	copies    int     // number of times it was sent
+	roundSize int     // copies in the next round
 	waiting   bool    // there was no connection to send it on
 	resendAt  time.Time
-	wait      time.Duration
+	wait      time.Duration // for a confirmation, once it was sent on all connections
 	confirmed bool
 }
 
@@ -57,6 +65,7 @@
 	byID     map[string]*release // those of pending that are not confirmed
 	confirms bool                // a caller has confirmed a release
 	expired  int                 // releases that were sent and not confirmed in time
+	copies   int                 // releases sent, each time counted
 	sweeping bool                // the next look at pending is scheduled
 }
 
@@ -70,8 +79,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns = append(d.conns, c)
+	d.hasten(c, time.Now().Add(roundInterval))
 }
 
+// hasten brings the next round of the releases forward that may be for the caller of a connection: all that are not on their way on the
+// connection of their set-up, and were not sent on this one.
+func (d *releaseDelivery) hasten(c *conn, at time.Time) {
+	for _, r := range d.pending {
+		if !r.confirmed && !r.isOnSetupConn() && !slices.Contains(r.tried, c) && at.Before(r.resendAt) {
+			r.resendAt = at
+		}
+	}
+}
+
+// isOnSetupConn reports whether the release was sent last on the connection of the call's set-up.
+func (r *release) isOnSetupConn() bool { return r.conn != nil && r.conn == r.setupConn }
+
 // noteKind records what a connection has shown its client to be. To a caller the releases are sent that wait for a connection or
 // were sent to clients that are not known to be callers.
 func (d *releaseDelivery) noteKind(c *conn, kind peerKind) {
@@ -82,11 +105,12 @@
 	}
 	c.kind = kind
 	if kind != callerPeer {
+		d.hasten(c, time.Now())
 		return
 	}
 	for _, r := range d.pending {
-		if !r.confirmed && (r.conn == nil || r.conn.kind != callerPeer) {
-			d.send(r, c)
+		if !r.confirmed && !r.isOnSetupConn() && !slices.Contains(r.tried, c) && d.send(r, c) {
+			r.startRound(c)
 		}
 	}
 }
@@ -105,7 +129,8 @@
 
 // deliver sends the release of a call: on the connection of its set-up, if that is known and open, else on that of another caller.
 func (d *releaseDelivery) deliver(m Message, setupConn *conn) {
-	r := &release{id: m.ID, data: m.Append(nil), expires: time.Now().Add(releaseTimeout), wait: minConfirmWait}
+	r := &release{id: m.ID, data: m.Append(nil), setupConn: setupConn, expires: time.Now().Add(releaseTimeout), wait: minConfirmWait,
+		roundSize: 1}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pending = append(d.pending, r)
@@ -120,7 +145,9 @@
 	if setupConn != nil {
 		r.address = transport.AddressOf(setupConn.RemoteAddr())
 	}
-	if setupConn == nil || !d.send(r, setupConn) {
+	if setupConn != nil && d.send(r, setupConn) {
+		r.startRound(setupConn)
+	} else {
 		d.sendAgain(r)
 	}
 	d.scheduleSweep()
@@ -159,27 +186,61 @@
 	if c.PeerClosed() || c.Send(transport.Packet{Data: r.data}) != nil {
 		return false
 	}
-	r.conn, r.tried, r.resendAt = c, append(r.tried, c), time.Now().Add(r.wait)
-	r.wait *= 2
+	d.copies++
+	r.copies++
+	if !slices.Contains(r.tried, c) {
+		r.tried = append(r.tried, c)
+	}
 	return true
 }
 
-// sendAgain sends a release on the connection on which it most likely arrives. Without any, it waits for the next.
+// startRound records that a round has begun with a connection, and leaves its client time to confirm.
+func (r *release) startRound(first *conn) {
+	r.conn, r.waiting = first, false
+	r.resendAt = time.Now().Add(minConfirmWait)
+	r.roundSize = min(2*r.roundSize, maxRoundSize)
+}
+
+// sendAgain sends a release on the connections on which it most likely arrives. Without any, it waits for the next.
 func (d *releaseDelivery) sendAgain(r *release) {
-	waited := r.conn == nil && r.waiting
-	r.conn = nil
-	candidates := slices.Clone(d.conns)
-	slices.Reverse(candidates) // the newest first, among equals
-	slices.SortStableFunc(candidates, func(a, b *conn) int { return r.rank(b) - r.rank(a) })
-	for _, c := range candidates {
-		if d.send(r, c) {
-			d.log.Info("release sent on another connection than its call's", logrus.Fields{"call": r.id, "caller": c.RemoteAddr(),
-				"sent": len(r.tried)})
-			return
+	isFirst := r.copies == 0
+	var first *conn
+	sent, untried := 0, 0
+	for _, c := range r.ranked(d.conns) {
+		wasTried := slices.Contains(r.tried, c)
+		switch {
+		case sent == r.roundSize && !wasTried:
+			untried++
+		case sent == r.roundSize, sent > 0 && wasTried:
+		case d.send(r, c):
+			sent++
+			if first == nil {
+				first = c
+			}
 		}
 	}
-	r.waiting = true
-	if !waited {
+	if first == nil {
+		d.awaitConn(r)
+		return
+	}
+	d.log.Info("release sent on another connection than its call's", logrus.Fields{"call": r.id, "caller": first.RemoteAddr(),
+		"sent": r.copies})
+	r.startRound(first)
+	switch {
+	case isFirst:
+	case untried > 0 && r.copies < manyCopies:
+		r.resendAt = time.Now().Add(roundInterval)
+	default:
+		r.resendAt = time.Now().Add(r.wait)
+		r.wait *= 2
+	}
+}
+
+// awaitConn lets a release wait for a connection.
+func (d *releaseDelivery) awaitConn(r *release) {
+	r.conn = nil
+	if !r.waiting {
+		r.waiting = true
 		d.log.Info("release waits for a connection of a caller", logrus.Fields{"call": r.id})
 	}
 }
@@ -188,11 +249,19 @@
 const (
 	rankConfirms      = 1 << iota // it has confirmed releases before
 	rankSameAddress               // it comes from the address of the call's set-up
-	rankUntried                   // the release was not sent on it yet
 	rankNoHealthCheck             // it has not sent a probe without a set-up; a caller may do that too
 	rankCaller                    // it is a caller's
+	rankUntried                   // the release was not sent on it yet
 )
 
+// ranked returns the connections, the one on which the release most likely arrives first.
+func (r *release) ranked(conns []*conn) []*conn {
+	ranked := slices.Clone(conns)
+	slices.Reverse(ranked) // the newest first, among equals
+	slices.SortStableFunc(ranked, func(a, b *conn) int { return r.rank(b) - r.rank(a) })
+	return ranked
+}
+
 // rank returns how likely a release arrives on a connection; the highest is the best.
 func (r *release) rank(c *conn) (rank int) {
 	if c.confirms {
@@ -230,27 +299,34 @@
 
 // sweep sends releases again that were not confirmed in time, and gives up those that have expired.
 func (d *releaseDelivery) sweep(now time.Time) {
+	limit := d.copies + maxSweepCopies
 	for _, r := range d.pending {
 		switch {
 		case r.confirmed:
 		case now.After(r.expires):
-			d.log.Warn("release not confirmed by any caller", logrus.Fields{"call": r.id, "sent": len(r.tried)})
-			d.forget(r)
-			if r.conn != nil {
-				d.expired++
-			}
+			d.expire(r)
+		case d.copies >= limit:
 		case r.conn == nil:
 			d.sendAgain(r)
 		case now.Before(r.resendAt):
-		case d.confirms || d.expired < enoughUnconfirmed || r.conn.kind != callerPeer:
-			d.sendAgain(r)
-		default:
+		case !d.confirms && d.expired >= enoughUnconfirmed && r.conn.kind == callerPeer:
 			d.forget(r)
+		default:
+			d.sendAgain(r)
 		}
 	}
 	d.prune()
 }
 
+// expire gives up a release that no caller has confirmed in time.
+func (d *releaseDelivery) expire(r *release) {
+	d.forget(r)
+	d.log.Warn("release not confirmed by any caller", logrus.Fields{"call": r.id, "sent": r.copies})
+	if r.conn != nil {
+		d.expired++
+	}
+}
+
 // prune removes the confirmed releases from pending.
 func (d *releaseDelivery) prune() {
 	d.pending = slices.DeleteFunc(d.pending, func(r *release) bool { return r.confirmed })
