Send releases again whose connection ends at callers that never confirm

A caller that confirms no release, which the protocol leaves free, did not read one whose connection ended after it was written: after eight unconfirmed releases of any caller a written one counted as delivered and was forgotten at the next look.

On any other connection it is sent on as if nothing was known.

TestReleaseToACallerThatNeverConfirmsIsSentAgain failed before in both of its cases.

--- a/internal/protocol/jsonl/release.go
+++ b/internal/protocol/jsonl/release.go
@@ -39,6 +39,7 @@
 	waiting   bool    // there was no connection to send it on
 	resendAt  time.Time
 	wait      time.Duration // for a confirmation, once it was sent on all connections
+	presumed  bool          // taken for confirmed while the connection of the set-up stays open
 	confirmed bool
 }
 
@@ -55,7 +56,7 @@
 // releaseDelivery sends releases to callers until they are confirmed. No connection owns an established call: its release goes on the
 // connection of its set-up, or else on that of another caller. A release that is written has not arrived: its connection may have
 // ended, or lead to a client that reads nothing. Callers confirm releases by the message "closed". The protocol leaves them free to
-// do so: if none ever does, a release that is written and whose connection stays open counts as confirmed.
+// do so: if none ever does, a release that is written on the connection of its set-up, and that stays open, counts as confirmed.
 type releaseDelivery struct {
 	log *loglimit.Limiter
 
@@ -196,7 +197,7 @@
 
 // startRound records that a round has begun with a connection, and leaves its client time to confirm.
 func (r *release) startRound(first *conn) {
-	r.conn, r.waiting = first, false
+	r.conn, r.presumed, r.waiting = first, false, false
 	r.resendAt = time.Now().Add(minConfirmWait)
 	r.roundSize = min(2*r.roundSize, maxRoundSize)
 }
@@ -308,9 +309,9 @@
 		case d.copies >= limit:
 		case r.conn == nil:
 			d.sendAgain(r)
-		case now.Before(r.resendAt):
-		case !d.confirms && d.expired >= enoughUnconfirmed && r.conn.kind == callerPeer:
-			d.forget(r)
+		case r.presumed, now.Before(r.resendAt):
+		case !d.confirms && d.expired >= enoughUnconfirmed && r.isOnSetupConn():
+			r.presumed = true
 		default:
 			d.sendAgain(r)
 		}
@@ -321,6 +322,9 @@
 // expire gives up a release that no caller has confirmed in time.
 func (d *releaseDelivery) expire(r *release) {
 	d.forget(r)
+	if r.presumed {
+		return
+	}
 	d.log.Warn("release not confirmed by any caller", logrus.Fields{"call": r.id, "sent": r.copies})
 	if r.conn != nil {
 		d.expired++
--- a/internal/protocol/jsonl/release_test.go
+++ b/internal/protocol/jsonl/release_test.go
@@ -80,3 +80,25 @@
 		}
 	}
 }
+
+// Guards against a release that is taken for delivered, because callers here confirm none, although its connection ends.
+func TestReleaseToACallerThatNeverConfirmsIsSentAgain(t *testing.T) {
+	for _, others := range []int{0, 3} {
+		t.Run(fmt.Sprintf("%d others", others), func(t *testing.T) {
+			t.Parallel()
+			b := newLargeBench(t)
+			b.front.releases.expired = enoughUnconfirmed
+			b.connectOthers(others)
+			before, ended := b.loopback()
+			release := b.establish(before, id)
+			release(16)
+			time.Sleep(2 * time.Second)
+			before.Close()
+			<-ended
+			time.Sleep(2 * time.Second)
+			again, _ := b.loopback()
+			io.WriteString(again, open("00000000000000aa"))
+			b.requireRelease(again, id, deliveryLimit)
+		})
+	}
+}
