Decide once whether a set-up is written or withdrawn as its connection ends

Whether a set-up counts as cut, and waits for the release guard, or as not sent, and goes to another server at once, was told to the peer's actor by a message of the connection's writer. Where the end of the connection was ahead of that message, a written set-up counted as not sent. A queued one could also still be written after it was given up. One atomic state now decides; the writer and the actor both ask it.

TestSetupWrittenAsItsConnectionEndsIsNotSentAgainAtOnce failed before with two set-ups at once.

--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"beammux/control"
 )
 
@@ -175,3 +177,33 @@
 		}
 	})
 }
+
+// Guards against a set-up that is sent again at once, within the release guard, although its first byte was written: its connection
+// ends at the moment of the write.
+func TestSetupWrittenAsItsConnectionEndsIsNotSentAgainAtOnce(t *testing.T) {
+	for _, writtenFirst := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness("a", "b")
+			defer h.stop()
+			first, second := h.servers["a"], h.servers["b"]
+			first.writesHeld = true
+			h.call("1", time.Second)
+			require.Len(t, first.queue, 1)
+			write := first.queue[0]
+			// The end of the connection waits behind this, for an actor that is busy.
+			busy := make(chan struct{})
+			h.list.hosts["a"].peer.Post(func() { <-busy })
+			first.reset()
+			if writtenFirst {
+				write()
+			}
+			close(busy)
+			synctest.Wait()
+			if !writtenFirst {
+				write()
+			}
+			h.sleep(100 * time.Millisecond)
+			require.Equal(t, 1, first.setups["1"]+second.setups["1"], "set-ups within the release guard; written first: %v", writtenFirst)
+		})
+	}
+}
--- a/internal/routing/peer_attempts.go
+++ b/internal/routing/peer_attempts.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
 	"beammux/control"
@@ -9,10 +10,29 @@
 // inFlightAttempt is an attempt that was handed to a connection.
 type inFlightAttempt struct {
 	Attempt
-	sent      bool // its first byte may have been written
+	write     *firstWrite
 	cancelled bool // given up by the core; a late answer may still arrive
 }
 
+// firstWrite decides whether the first byte of a set-up is written or the set-up is withdrawn unsent. The connection's writer and the
+// peer's actor ask at the same time, and exactly one of them is told yes.
+type firstWrite struct{ state atomic.Int32 }
+
+// States of a firstWrite.
+const (
+	writeWaits int32 = iota
+	writeBegun
+	writeWithdrawn
+)
+
+// begin reports whether the set-up may be written: it was not withdrawn.
+func (w *firstWrite) begin() bool {
+	return w.state.CompareAndSwap(writeWaits, writeBegun) || w.state.Load() == writeBegun
+}
+
+// withdraw reports whether the set-up is withdrawn before its first byte, which is then never written. Otherwise the server may have it.
+func (w *firstWrite) withdraw() bool { return w.state.CompareAndSwap(writeWaits, writeWithdrawn) }
+
 func (p *Peer) failQueued(code control.Code) {
 	for _, a := range p.queued {
 		p.fail(a, code)
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -23,31 +23,23 @@
 	closed      bool
 }
 
-// send hands an attempt to the connection.
+// send hands an attempt to the connection. From the first byte on the server may execute the set-up: if the connection breaks then, the
+// outcome is Cut, not NotSent.
 func (c *peerConn) send(a Attempt) {
-	c.inFlight[a.id] = inFlightAttempt{Attempt: a}
+	write := &firstWrite{}
+	c.inFlight[a.id] = inFlightAttempt{Attempt: a, write: write}
 	// The function runs for each copy that is sent over UDP. Only the first must check for cancellation: after a cancel the
 	// connection sends no further copy.
 	first := true
 	c.conn.Setup(a, func() bool {
-		if !c.peer.ready() {
+		if !c.peer.ready() || first && a.abandoned() || !write.begin() {
 			return false
 		}
 		if first {
-			if a.abandoned() {
-				return false
-			}
 			first = false
 			c.peer.core.note(history.Event{Kind: history.Sent, Call: a.id, Attempt: a.attemptNumber, Server: c.peer.server,
 				Level: a.level})
 		}
-		// From the first byte on the server may execute the set-up: if the connection breaks now, the outcome is Cut, not NotSent.
-		c.ifOpen(func(*Peer) {
-			if sent, ok := c.inFlight[a.id]; ok && sent.attemptRef == a.attemptRef {
-				sent.sent = true
-				c.inFlight[a.id] = sent
-			}
-		})
 		return true
 	})
 }
--- a/internal/routing/peer_connections.go
+++ b/internal/routing/peer_connections.go
@@ -164,17 +164,14 @@
 	}
 	p.conns = slices.DeleteFunc(p.conns, func(o *peerConn) bool { return o == c })
 	for _, o := range c.inFlight {
-		if o.sent {
-			defer func() { p.core.Post(func() { p.core.releaseAgain(p, o.id, CauseNormal) }) }()
-		}
-		if o.cancelled {
-			continue
-		}
 		code := control.NotSent
-		if o.sent {
+		if !o.write.withdraw() {
 			code = control.Cut
+			defer func() { p.core.Post(func() { p.core.releaseAgain(p, o.id, CauseNormal) }) }()
+		}
+		if !o.cancelled {
+			p.fail(o.Attempt, code)
 		}
-		p.fail(o.Attempt, code)
 	}
 	c.inFlight = nil
 }
