Keep servers for 30 s that a reloaded or imported inventory no longer names

A SIGHUP while the inventory was half written dropped the servers whose rows were not there yet: callers read releases with cause 41 for calls that went on at sound servers, and no set-up went to those. A file cut after a whole row, or in the last port, is well-formed.

What such a list takes away now waits for 30 s: servers that it does not name, and moves in a list that lacks servers or whose last server moved. A list that names them as before cancels it; a file that lacked servers is read again after 20 s. Servers named as removed, renamed servers and the records of control machines take effect at once.

TestSettingsFromFileAndRecords keeps its check with a delay of zero.

--- a/internal/node/inventory.go
+++ b/internal/node/inventory.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,6 +17,13 @@
 // and the text of the file.
 const InventoryKey = "inventory"
 
+// defaultRemovalDelay is how long a server stays on the list that an inventory no longer names, or names at another address. A file that is
+// half-saved when it is read, by a program that writes it row by row, is whole again by then.
+const defaultRemovalDelay = 30 * time.Second
+
+// rereadDelay is the time after which an inventory file that lacked servers at a reload is read again.
+const rereadDelay = 20 * time.Second
+
 // ImportInventory replaces the list of servers by an inventory, as if it had been imported into the store. The extension of
 // name selects the format. ImportInventory returns once the list has been applied.
 func (n *Node) ImportInventory(name string, text []byte) error {
@@ -60,6 +69,32 @@
 	return nil
 }
 
+// rereadIfIncomplete reads an inventory file again after a while, if the list that it has just given lacks servers of the one before.
+func (n *Node) rereadIfIncomplete(file string, before, now []routing.Host) {
+	complete := true
+	for _, old := range before {
+		complete = complete && slices.ContainsFunc(now, func(h routing.Host) bool { return h.Name == old.Name && h.Addr == old.Addr })
+	}
+	if complete {
+		return
+	}
+	time.AfterFunc(rereadDelay, func() {
+		hosts, err := inventory.Load(file)
+		if err != nil {
+			n.log.WithError(err).Error("inventory is bad, last good one kept")
+			return
+		}
+		n.settings.mu.Lock()
+		defer n.settings.mu.Unlock()
+		if !slices.Equal(n.settings.file.hosts, now) || slices.Equal(hosts, now) {
+			return // reloaded meanwhile, or still the same
+		}
+		n.settings.file.hosts = hosts
+		current := n.applySections(n.removalDelay)
+		n.log.WithField("servers", len(current.hosts)).Info("inventory has changed since it was reloaded: applied")
+	})
+}
+
 // applyImported applies an inventory record of the store. An invalid one leaves the list unchanged.
 func (n *Node) applyImported(r store.Record) {
 	if r.Key != InventoryKey || r.Value == nil {
@@ -70,7 +105,7 @@
 		n.log.WithError(err).Error("inventory in store is bad, last good one kept")
 		return
 	}
-	n.list.Apply(routing.Update{Source: fromStore, Complete: true, Hosts: hosts}, nil)
+	n.list.Apply(routing.Update{Source: fromStore, Complete: true, Hosts: hosts, RemovalDelay: n.removalDelay}, nil)
 	n.log.WithFields(logrus.Fields{"servers": len(hosts), "revision": r.Revision}).Info("inventory applied from store")
 }
 
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -37,7 +37,11 @@
 		n.log.Warn("reload: fleet.limits is new; it takes effect at the next start")
 	}
 	n.bus.SetAddr(cfg.Bus)
+	before := n.fileHosts()
 	current, fromRecords := n.reloadSections(sections{calls: deploy.Calls, limits: deploy.Limits, hosts: hosts})
+	if deploy.Inventory != "" {
+		n.rereadIfIncomplete(deploy.Inventory, before, hosts)
+	}
 	n.recordConfiguration(cfg)
 	log := n.log.WithFields(logrus.Fields{"bus": cfg.Bus, "servers": len(current.hosts), "calls": current.calls.Version()})
 	if len(fromRecords) > 0 {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -160,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.records, s.bySection = records, c.Sections
-	current := n.applySections()
+	current := n.applySections(0)
 	s.changes.Add(1)
 	n.log.WithFields(logrus.Fields{"revision": c.Revision, "sections": strings.Join(s.sectionNames(), " "),
 		"calls": current.calls.Version(), "servers": len(current.hosts)}).Info("settings in force")
@@ -221,18 +221,25 @@
 // storeShared reports whether this gatekeeper's store has other members.
 func (n *Node) storeShared() bool { return len(n.deploy.StorePeers) > 0 || n.deploy.StoreJoin }
 
+// fileHosts returns the servers of the deploy file's inventory, as it was read last.
+func (n *Node) fileHosts() []routing.Host {
+	n.settings.mu.Lock()
+	defer n.settings.mu.Unlock()
+	return n.settings.file.hosts
+}
+
 // reloadSections applies the sections of a reloaded deploy file. It returns the sections in force and the names of those that
 // come from records.
 func (n *Node) reloadSections(file sections) (current sections, fromRecords []string) {
 	n.settings.mu.Lock()
 	defer n.settings.mu.Unlock()
 	n.settings.file = file
-	return n.applySections(), n.settings.sectionNames()
+	return n.applySections(n.removalDelay), n.settings.sectionNames()
 }
 
 // applySections applies the sections that result from the file and the records. The limits of calls and of the fleet change
-// together in one event of the core; the list of servers follows. The caller must hold settings.mu.
-func (n *Node) applySections() sections {
+// together in one event of the core; the list of servers follows, with a delay for removals. The caller must hold settings.mu.
+func (n *Node) applySections(removalDelay time.Duration) sections {
 	current := n.settings.inForce()
 	limiter := n.limits
 	n.leaseMembers.Store(leaseAddresses(current.limits))
@@ -243,7 +250,7 @@
 	})
 	n.calls.Store(current.calls.Version())
 	n.core.Note(history.Event{Kind: history.Reloaded, Name: current.calls.Version()})
-	n.list.Apply(routing.Update{Source: fromFile, Complete: true, Hosts: current.hosts}, nil)
+	n.list.Apply(routing.Update{Source: fromFile, Complete: true, Hosts: current.hosts, RemovalDelay: removalDelay}, nil)
 	if limiter != nil {
 		n.exporter.setLimits(quotaLimits(current.limits), limiter)
 	}
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -75,6 +75,7 @@
 // file. A candidate with one invalid section changes nothing.
 func TestSettingsFromFileAndRecords(t *testing.T) {
 	n := nodeWithoutControl(t)
+	n.removalDelay = 0 // a reload then changes the list at once; see TestServersThatAnInventoryNoLongerNamesAreRemovedLater
 	rapid.Check(t, func(t *rapid.T) {
 		type values struct {
 			calls             int
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -32,7 +32,8 @@
 // timeout, until startCtx is done, and then returns the cause; all other waits are short.
 func Start(startCtx context.Context, cfg *config.Config, deploy *config.Deploy, log logrus.FieldLogger) (*Node, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	n := &Node{cfg: cfg, deploy: deploy, log: log, stop: stop, ops: operators{started: time.Now()}}
+	n := &Node{cfg: cfg, deploy: deploy, log: log, stop: stop, ops: operators{started: time.Now()},
+		removalDelay: defaultRemovalDelay}
 	if err := n.open(ctx, startCtx); err != nil {
 		n.cleanUp()
 		return nil, err
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -22,11 +23,13 @@
 }
 
 // Update is a change of the list. With Complete it is the complete list of its source: servers of that source that it does not
-// name are removed. Servers of other sources are not affected.
+// name are removed. Servers of other sources are not affected. RemovalDelay is that of a source whose lists may be incomplete; see
+// deferredChange.
 type Update struct {
-	Source   string
-	Complete bool
-	Hosts    []Host
+	Source       string
+	Complete     bool
+	Hosts        []Host
+	RemovalDelay time.Duration
 }
 
 // List is the actor that owns the list of servers and their peers. It is updated by event buses and inventories.
@@ -48,6 +51,8 @@
 	id     uint32
 	peer   *Peer
 	since  control.Micros // Host.Since by the core's clock, converted once
+
+	deferred *deferredChange // nil if none waits
 }
 
 // NewList returns an empty list that reports its changes to core.
@@ -96,15 +101,25 @@
 	change := &listChange{list: l, named: map[string]bool{}}
 	for _, h := range u.Hosts {
 		change.named[h.Name] = true
+	}
+	if l.defers(u, change) {
+		u.Hosts = l.deferMoves(u)
+	}
+	for _, h := range u.Hosts {
 		l.removeMoved(h, change)
 	}
 	for _, h := range u.Hosts {
 		l.applyHost(u.Source, h, change)
 	}
 	if u.Complete {
-		l.removeUnnamed(u.Source, change)
+		l.removeUnnamed(u, change)
 	}
 	l.listAgain(change)
+	l.publish(change)
+}
+
+// publish passes the changed entries to the module.
+func (l *List) publish(change *listChange) {
 	peers := map[uint32]*Peer{}
 	for _, h := range l.hosts {
 		peers[h.id] = h.peer
@@ -117,14 +132,18 @@
 }
 
 // removeUnnamed removes the servers of a source that its complete list does not name.
-func (l *List) removeUnnamed(source string, change *listChange) {
+func (l *List) removeUnnamed(u Update, change *listChange) {
 	for name, old := range l.hosts {
-		if old.source == source && !change.named[name] {
+		switch {
+		case old.source != u.Source || change.named[name]:
+		case u.RemovalDelay > 0:
+			l.deferChange(old, u, nil)
+		default:
 			l.remove(old, change)
 		}
 	}
 	for name, old := range l.replaced {
-		if old.source == source && !change.named[name] {
+		if old.source == u.Source && !change.named[name] {
 			delete(l.replaced, name)
 		}
 	}
@@ -161,6 +180,7 @@
 			l.core.Post(func() { l.core.serverLostBefore(p, since, serverRestarted) })
 		}
 	}
+	entry.cancelDeferred()
 	entry.Host, entry.source = h, source
 	entry.peer.setState(h.State)
 	change.add(h.Name, control.Entry{Server: entry.id, Cell: h.Cell, State: h.State, Since: entry.since})
@@ -180,6 +200,7 @@
 
 // remove removes a server from the list and ends its peer.
 func (l *List) remove(h *listedHost, change *listChange) {
+	h.cancelDeferred()
 	delete(l.hosts, h.Name)
 	l.removeHolder(h)
 	h.peer.setState(control.Gone)
