Wait for sip.udp and console.listen that the process before still has

A gatekeeper whose deploy file names sip.udp (as deploy/example does) or console.listen could not be handed over: the second process ended with "address already in use". Datagrams can't be shared as connections are, since each has to reach the process that knows its transaction.

Any other error still ends the start. TestHandOverOfAddressesThatOneProcessHas failed before: "bind: address already in use".

--- a/cmd/beammux/serve_test.go
+++ b/cmd/beammux/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,7 +16,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"beammux/internal/porttest"
+	"beammux/internal/protocol/sip"
 )
 
 // TestMain runs the program instead of the tests if a test started this binary as the program.
@@ -172,6 +176,74 @@
 	}
 }
 
+// Guards against a second process that does not start because the first still has an address that can't be shared. It must be ready at
+// once, and answer there once the first has ended.
+func TestHandOverOfAddressesThatOneProcessHas(t *testing.T) {
+	start := func(udp, console string) *gatekeeperProcess {
+		g := &gatekeeperProcess{name: "g", dir: t.TempDir()}
+		for name, text := range map[string]string{"config.json": fmt.Sprintf(`{"listen":"127.0.0.1:0","settings":%s}`, oneClass),
+			"deploy.json": fmt.Sprintf(`{"sip":{"udp":%q,"default_class":"menu-view"},"console":{"listen":%q}}`, udp, console)} {
+			require.NoError(t, os.WriteFile(filepath.Join(g.dir, name), []byte(text), 0o600))
+		}
+		g.start(t)
+		return g
+	}
+	console := filepath.Join(t.TempDir(), "console")
+	old := start("127.0.0.1:0", "unix:"+console)
+	udp := old.loggedField(t, "SIP front serving", "udp")
+	client, err := net.Dial("udp", udp)
+	require.NoError(t, err)
+	defer client.Close()
+	require.Equal(t, 200, sipProbe(t, client))
+	next := start(udp, "unix:"+console)
+	require.Equal(t, 200, sipProbe(t, client))
+	old.stop(t, syscall.SIGTERM)
+	next.loggedField(t, "address is free: listening", "address")
+	require.Eventually(t, func() bool { return strings.Count(next.logText(), "address is free: listening") == 2 }, time.Second, 10*time.Millisecond)
+	require.Equal(t, 200, sipProbe(t, client))
+	watcher, err := net.Dial("unix", console)
+	require.NoError(t, err)
+	watcher.Close()
+	next.stop(t, syscall.SIGTERM)
+}
+
+// loggedField waits until the process has logged a message, and returns a field of its first such line.
+func (g *gatekeeperProcess) loggedField(t *testing.T, message, field string) (value string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for line := range strings.Lines(g.logText()) {
+			fields := map[string]any{}
+			if json.Unmarshal([]byte(line), &fields) == nil && fields["msg"] == message {
+				value = fmt.Sprint(fields[field])
+				return true
+			}
+		}
+		return false
+	}, 2*time.Second, 10*time.Millisecond, "not logged: %s", message)
+	return value
+}
+
+// sipProbe sends OPTIONS over UDP, as a client that sends it again, and returns the status of the answer.
+func sipProbe(t *testing.T, client net.Conn) int {
+	t.Helper()
+	probe := sip.Request("OPTIONS", "sip:ping@net").Set("Via", "SIP/2.0/UDP "+client.LocalAddr().String()+";branch=z9hG4bK"+rand.Text()).
+		Set("Max-Forwards", "70").Set("From", "<sip:probe@net>;tag=1").Set("To", "<sip:ping@net>").Set("Call-ID", rand.Text()).
+		Set("CSeq", "1 OPTIONS").Append(nil)
+	buffer := make([]byte, sip.MaxMessage)
+	for range 5 {
+		client.Write(probe)
+		client.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if n, err := client.Read(buffer); err == nil {
+			answer, err := sip.Parse(buffer[:n])
+			require.NoError(t, err)
+			return answer.Status
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Fail(t, "no answer to OPTIONS")
+	return 0
+}
+
 // A start with an invalid operators' address fails with a message that names the address.
 func TestBadOperatorsAddress(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -57,7 +57,7 @@
 	if err := n.openServers(startCtx, network); err != nil {
 		return err
 	}
-	if err := n.openListeners(network); err != nil {
+	if err := n.openListeners(ctx, network); err != nil {
 		return err
 	}
 	if err := n.openFleet(ctx); err != nil {
@@ -197,19 +197,27 @@
 }
 
 // openListeners opens the callers' address, the SIP front to callers, and the console socket.
-func (n *Node) openListeners(network networkLimits) (err error) {
+func (n *Node) openListeners(ctx context.Context, network networkLimits) (err error) {
 	if n.listener, err = transport.Listen(n.cfg.Listen, network.budget); err != nil {
 		return err
 	}
 	if n.agent != nil {
 		n.agent.Serve()
 		n.log.WithFields(logrus.Fields{"udp": n.agent.Addr("UDP"), "tcp": n.agent.Addr("TCP")}).Info("SIP front serving")
+		if n.deploy.SIPUDP != "" && n.agent.Addr("UDP") == "" {
+			n.awaitAddress(ctx, "sip.udp", n.deploy.SIPUDP, n.agent.BindUDP)
+		}
 	}
 	n.bus = n.newBusReader(network.timeout)
 	if n.deploy.Console == "" {
 		return nil
 	}
-	if err := n.hub.Listen(n.deploy.Console); err != nil {
+	err = n.hub.Listen(n.deploy.Console)
+	if isInUse(err) {
+		n.awaitAddress(ctx, "console.listen", n.deploy.Console, func() error { return n.hub.Listen(n.deploy.Console) })
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	n.log.WithField("listen", n.hub.Addr()).Info("console socket serving")
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -1,8 +1,9 @@
 package sip
 
 import (
-	"net"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,7 +63,7 @@
 	Options
 	core             Core
 	transactionLayer *transactionLayer
-	udp              net.PacketConn
+	udp              *udpSocket // nil if disabled
 	tcp              *transport.Listener
 	tcpConns         map[string]*transport.Conn // open TCP connections, by remote address
 	pendingCalls     map[*serverTx]*uasCall     // set-ups without a final answer
@@ -87,20 +88,20 @@
 }
 
 // Listen opens the sockets for callers. An empty address disables that transport. It must be called once, before any server is
-// dialed, because traffic to servers over UDP uses the same socket. Nothing is read before Serve.
+// dialed, because traffic to servers over UDP uses the same socket. Nothing is read before Serve. If another process has the address for
+// UDP, the agent serves without it until BindUDP succeeds.
 func (a *Agent) Listen(udp, tcp string) error {
 	if udp != "" {
-		pc, err := net.ListenPacket("udp", udp)
-		if err != nil {
+		a.udp = &udpSocket{addr: udp}
+		if err := a.udp.bind(); err != nil && !errors.Is(err, syscall.EADDRINUSE) {
 			return err
 		}
-		a.udp = pc
 	}
 	if tcp != "" {
 		listener, err := transport.Listen(tcp, a.Budget)
 		if err != nil {
 			if a.udp != nil {
-				a.udp.Close()
+				a.udp.close()
 			}
 			return err
 		}
@@ -110,10 +111,18 @@
 	return nil
 }
 
+// BindUDP binds the address for UDP if Listen found it in use by another process. It may be called any number of times.
+func (a *Agent) BindUDP() error {
+	if a.udp == nil {
+		return nil
+	}
+	return a.udp.bind()
+}
+
 // Serve starts reading from the sockets. It is called once the server list is known.
 func (a *Agent) Serve() {
 	if a.udp != nil {
-		go a.readUDP(a.udp)
+		a.udp.serve(a.readUDP)
 	}
 	if a.tcp != nil {
 		go a.tcp.Serve(a.serveTCP)
@@ -123,8 +132,8 @@
 // Addr returns the address on which the agent listens for the transport "UDP" or "TCP", or "" if it does not.
 func (a *Agent) Addr(proto string) string {
 	switch {
-	case proto == "UDP" && a.udp != nil:
-		return a.udp.LocalAddr().String()
+	case proto == "UDP" && a.udp != nil && a.udp.bound() != nil:
+		return a.udp.bound().LocalAddr().String()
 	case proto == "TCP" && a.tcp != nil:
 		return a.tcp.Addr().String()
 	}
@@ -150,7 +159,7 @@
 		a.tcp.Finish(a.Timers.T1)
 	}
 	if a.udp != nil {
-		a.udp.Close()
+		a.udp.close()
 	}
 	a.Stop()
 }
--- a/internal/protocol/sip/flow.go
+++ b/internal/protocol/sip/flow.go
@@ -218,13 +218,13 @@
 			}
 			done(&tcpFlow{agent: a, conn: c}, nil)
 		})
-	case proto == "UDP" && a.udp != nil:
+	case proto == "UDP" && a.udp != nil && a.udp.bound() != nil:
 		to, err := net.ResolveUDPAddr("udp", addr)
 		if err != nil {
 			done(nil, err)
 			return
 		}
-		done(udpFlow{a.udp, to}, nil)
+		done(udpFlow{a.udp.bound(), to}, nil)
 	default:
 		done(nil, errors.New("no socket for transport "+proto))
 	}
