Look up SIP host names outside of the agent's actor

As the review read it: a Contact with a host name was resolved in the agent's only goroutine, so that one caller's name which resolves slowly stops all SIP calls meanwhile. The same held for a SIP server over UDP that is named by host.

The look-up now runs beside the actor and posts its result, and is given up after the dial's time-out. IPv4 is preferred, as before.

--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -1,7 +1,9 @@
 package sip
 
 import (
+	"context"
 	"errors"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -53,7 +55,9 @@
 	OnFirstMessage func(address string, wellFormed bool)
 	// IsBlocked, if not nil, reports whether new TCP connections from a caller's address are closed immediately.
 	IsBlocked func(address string) bool
-	Log       logrus.FieldLogger
+	// LookupHost returns the addresses of a host name; nil for that of net.DefaultResolver.
+	LookupHost func(ctx context.Context, host string) ([]string, error)
+	Log        logrus.FieldLogger
 }
 
 // Agent is a back-to-back user agent (RFC 3261, 6): it serves SIP callers on one side and provides the core's connections to
@@ -80,6 +84,9 @@
 	if options.Timers == (Timers{}) {
 		options.Timers = DefaultTimers
 	}
+	if options.LookupHost == nil {
+		options.LookupHost = net.DefaultResolver.LookupHost
+	}
 	a := &Agent{Actor: actor.New(), Options: options, core: core, tcpConns: map[string]*transport.Conn{},
 		pendingCalls: map[*serverTx]*uasCall{}, dialogs: map[string]*dialog{}, dialogsByID: map[string]*dialog{},
 		serverConns: map[string]*serverConn{}}
--- a/internal/protocol/sip/agent_test.go
+++ b/internal/protocol/sip/agent_test.go
@@ -1,13 +1,16 @@
 package sip_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
 
 	"beammux/control"
 	"beammux/internal/protocol/sip"
@@ -266,6 +269,40 @@
 	})
 }
 
+// Guards against a host name in a Contact that stops the whole SIP front while it is looked up.
+func TestLookupOfAContactDelaysNoOtherCall(t *testing.T) {
+	lookedUp, answer := make(chan string, 9), make(chan struct{})
+	lookup := func(ctx context.Context, host string) ([]string, error) {
+		lookedUp <- host
+		select {
+		case <-answer:
+			return []string{"::1", "127.0.0.1"}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	server := New(t, answering)
+	b := newFixtureWith(t, 3*time.Second, func(o *sip.Options) { o.LookupHost, o.DialTimeout = lookup, 5*time.Second },
+		host("s-1", server.URI("UDP"), 0))
+	caller, other := New(t, nil), New(t, nil)
+	_, port, err := net.SplitHostPort(caller.Addr("UDP"))
+	require.NoError(t, err)
+	invite := caller.Invite("UDP", "abc", "1", "")
+	invite.Set("Contact", "<sip:caller@tablet.example:"+port+">")
+	caller.Send("UDP", b.agent.Addr("UDP"), invite)
+	caller.Wait("answer", Status(200, "INVITE"))
+	caller.Send("UDP", b.agent.Addr("UDP"), InDialog(invite, caller.Wait("answer", Status(200, "INVITE")).Msg, "ACK", 1))
+	received := server.Wait("INVITE", IsMethod("INVITE"))
+	server.Send("UDP", b.agent.Addr("UDP"), ServerBye(received.Msg, server.Reply(received.Msg, 200, "OK", ""), 16))
+	require.Equal(t, "tablet.example", <-lookedUp)
+	began := time.Now()
+	other.Send("UDP", b.agent.Addr("UDP"), other.Invite("UDP", "other", "1", ""))
+	other.Wait("answer to another caller", Status(200, "INVITE"))
+	require.Less(t, time.Since(began), time.Second)
+	close(answer)
+	caller.Wait("BYE", IsMethod("BYE"))
+}
+
 // When a server crashes, a pending set-up at it gets one final answer, and the caller of an established call gets one BYE.
 func TestServerCrash(t *testing.T) {
 	first := true
--- a/internal/protocol/sip/flow.go
+++ b/internal/protocol/sip/flow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -219,17 +220,64 @@
 			done(&tcpFlow{agent: a, conn: c}, nil)
 		})
 	case proto == "UDP" && a.udp != nil && a.udp.bound() != nil:
-		to, err := net.ResolveUDPAddr("udp", addr)
-		if err != nil {
-			done(nil, err)
-			return
-		}
-		done(udpFlow{a.udp.bound(), to}, nil)
+		a.resolve(addr, func(to *net.UDPAddr, err error) {
+			if err != nil {
+				done(nil, err)
+				return
+			}
+			done(udpFlow{a.udp.bound(), to}, nil)
+		})
 	default:
 		done(nil, errors.New("no socket for transport "+proto))
 	}
 }
 
+// resolve calls done with the address of a host and port. It is called in the actor, and so is done. A name is looked up outside of it,
+// since that may take seconds; the lookup is given up after DialTimeout.
+func (a *Agent) resolve(addr string, done func(*net.UDPAddr, error)) {
+	if to, err := netip.ParseAddrPort(addr); err == nil {
+		done(net.UDPAddrFromAddrPort(to), nil)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), a.DialTimeout)
+		defer cancel()
+		to, err := a.lookUp(ctx, addr)
+		a.Post(func() { done(to, err) })
+	}()
+}
+
+// lookUp looks up the name in a host and port.
+func (a *Agent) lookUp(ctx context.Context, addr string) (*net.UDPAddr, error) {
+	host, service, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	port, err := net.DefaultResolver.LookupPort(ctx, "udp", service)
+	if err != nil {
+		return nil, err
+	}
+	found, err := a.LookupHost(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	if ip := preferredAddress(found); ip.IsValid() {
+		return net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, uint16(port))), nil
+	}
+	return nil, &net.DNSError{Err: "no address", Name: host, IsNotFound: true}
+}
+
+// preferredAddress returns the first IPv4 address, or else the first address, as package net does for "udp".
+func preferredAddress(found []string) (preferred netip.Addr) {
+	for _, address := range found {
+		ip, err := netip.ParseAddr(address)
+		if err == nil && (!preferred.IsValid() || ip.Is4() && !preferred.Is4()) {
+			preferred = ip
+		}
+	}
+	return preferred
+}
+
 // sentBy returns the agent's own address for Via and Contact headers.
 func (a *Agent) sentBy(proto string) string {
 	if addr := a.Addr(proto); addr != "" {
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -65,14 +65,17 @@
 	}
 	ready := make(chan error, 1)
 	a.Post(func() {
-		defer func() { a.serverConns[server.key] = server }()
 		if conn != nil {
 			server.flow = &tcpFlow{agent: a, conn: conn}
+			a.serverConns[server.key] = server
 			ready <- nil
 			return
 		}
 		a.flowTo(proto, nextHop, func(f flow, err error) {
-			server.flow = f
+			if err == nil {
+				server.flow = f
+				a.serverConns[server.key] = server
+			}
 			ready <- err
 		})
 	})
