Send SIP clients away too when a gatekeeper is evacuated

After POST /api/evacuate the health checks (OPTIONS) of SIP clients passed as before, and their idle connections stayed open: only the front of JSON lines was told.

The decisions of control/drain now hold for the callers' TCP connections of the SIP front: those without a set-up or call are closed, also in the drain after SIGTERM, and OPTIONS is answered 503 until rejoin. A connection with an established call stays open; its dialog does not end with the connection, and its caller may be reachable by no other way.

TestEvacuateSendsSIPClientsAway failed before: the idle connection was open after 1 s.

--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -73,6 +73,7 @@
 func (n *Node) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
+	ready := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,12 +83,28 @@
 		n.ops.mu.Lock()
 		state, elapsed := n.ops.drain, n.ops.now()
 		n.ops.mu.Unlock()
-		if state.Ready() {
+		if n.agent != nil && state.Ready() != ready {
+			n.setAgentReady(state.Ready())
+		}
+		if ready = state.Ready(); ready {
 			continue
 		}
-		n.front.Sweep(func(lastUsed time.Time, pending, established bool) drain.Decision {
+		decide := func(lastUsed time.Time, pending, established bool) drain.Decision {
 			return state.DecideConnection(elapsed, control.Micros(lastUsed.Sub(n.ops.started)/time.Microsecond), pending, established)
-		})
+		}
+		n.front.Sweep(decide)
+		if n.agent != nil {
+			n.agent.Sweep(decide)
+		}
+	}
+}
+
+// setAgentReady makes the health checks of SIP clients pass or fail.
+func (n *Node) setAgentReady(ready bool) {
+	if ready {
+		n.agent.Rejoin()
+	} else {
+		n.agent.Drain()
 	}
 }
 
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
 
 	"beammux/control"
 	"beammux/internal/config"
+	"beammux/internal/protocol/sip"
 	"beammux/internal/protocol/sip/siptest"
 	"beammux/internal/routing"
 )
@@ -226,3 +228,45 @@
 	}
 	server.Wait("BYE", siptest.IsMethod("BYE"))
 }
+
+// Guards against SIP clients that stay at an evacuated gatekeeper: their health checks must fail and their idle connections be closed. One
+// with an established call stays open.
+func TestEvacuateSendsSIPClientsAway(t *testing.T) {
+	n := testNode(t, &config.Deploy{SIPUDP: "127.0.0.1:0", SIPTCP: "127.0.0.1:0", DefaultClass: "menu-view"})
+	withServer(t, n, 0)
+	client := siptest.New(t, nil)
+	request := func(conn net.Conn, proto, method string) int {
+		m := client.Invite(proto, fmt.Sprintf("%s-%d", method, time.Now().UnixNano()), "1", "")
+		m.Method = method
+		m.Set("CSeq", "1 "+method)
+		_, err := conn.Write(m.Append(nil))
+		require.NoError(t, err)
+		conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		in := sip.NewReader(bufio.NewReader(conn))
+		for {
+			answer, err := in.Next()
+			require.NoError(t, err)
+			if _, of, _ := answer.CSeq(); of == method && answer.Status >= 200 {
+				return answer.Status
+			}
+		}
+	}
+	connect := func(proto string) net.Conn {
+		conn, err := net.Dial(strings.ToLower(proto), n.agent.Addr(proto))
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	idle, busy, datagrams := connect("TCP"), connect("TCP"), connect("UDP")
+	require.Equal(t, 200, request(idle, "TCP", "OPTIONS"))
+	require.Equal(t, 200, request(busy, "TCP", "INVITE"))
+	n.Evacuate()
+	idle.SetReadDeadline(time.Now().Add(time.Second))
+	_, err := idle.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err, "the idle connection is closed")
+	require.Equal(t, 503, request(datagrams, "UDP", "OPTIONS"))
+	time.Sleep(2500 * time.Millisecond)
+	require.Equal(t, 503, request(busy, "TCP", "OPTIONS"), "on the connection of the established call")
+	n.Rejoin()
+	require.Eventually(t, func() bool { return request(datagrams, "UDP", "OPTIONS") == 200 }, time.Second, 10*time.Millisecond)
+}
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -147,13 +147,6 @@
 	return ""
 }
 
-// Drain makes the agent answer health checks (OPTIONS) with 503 from now on. It still accepts set-ups, because only the
-// decision module decides whether a set-up is refused.
-func (a *Agent) Drain() { a.Post(func() { a.draining = true }) }
-
-// TurnAway makes the agent refuse all new set-ups, because the process exits once the earlier ones are answered.
-func (a *Agent) TurnAway() { a.Post(func() { a.refusing = true }) }
-
 // Close closes the agent's sockets and stops its actor after all work posted before has been sent.
 func (a *Agent) Close() { a.closeOnce.Do(a.close) }
 
