--- a/internal/node/inventory.go
+++ b/internal/node/inventory.go
@@ -17,7 +17,7 @@
 // and the text of the file.
 const InventoryKey = "inventory"
 
-// defaultRemovalDelay is how long a server stays on the list that an inventory no longer names, or names at another address. A file that is
+// defaultRemovalDelay is how long a server stays on the list that the newest inventory lacks, or has at another address. A file that is
 // half-saved when it is read, by a program that writes it row by row, is whole again by then.
 const defaultRemovalDelay = 30 * time.Second
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	publishers    sync.WaitGroup           // goroutines that publish to the fleet
 	lastSummaries []fleetview.Summary      // as last returned by summaries
 	stop          context.CancelFunc
-	removalDelay  time.Duration // of servers that a reloaded or imported inventory no longer names
+	removalDelay  time.Duration // of servers that a reloaded or imported inventory lacks
 
 	lastListed []outlier.Server // as last returned by listedServers
 }
--- a/internal/protocol/jsonl/release.go
+++ b/internal/protocol/jsonl/release.go
@@ -18,7 +18,7 @@
 	minConfirmWait     = 400 * time.Millisecond // for a confirmation, before a release is sent again; it doubles each time
 	roundInterval      = 100 * time.Millisecond // between rounds, while there are connections on which a release was not sent yet
 	maxRoundSize       = 16                     // copies of a release in one round
-	manyCopies         = 64                     // copies of a release after which its rounds are no longer frequent
+	manyCopies         = 64                     // copies of a release after which its rounds become rare
 	maxSweepCopies     = 1024                   // releases that one sweep sends again; the others wait for the next
 	sweepInterval      = 100 * time.Millisecond // between looks at the releases that are not confirmed
 	enoughUnconfirmed  = 8                      // releases that expire without any confirmation, until none is expected any more
--- a/internal/routing/peer_attempts.go
+++ b/internal/routing/peer_attempts.go
@@ -14,8 +14,8 @@
 	cancelled bool // given up by the core; a late answer may still arrive
 }
 
-// firstWrite decides whether the first byte of a set-up is written or the set-up is withdrawn unsent. The connection's writer and the
-// peer's actor ask at the same time, and exactly one of them is told yes.
+// firstWrite decides whether the first byte of a set-up is written or the set-up is withdrawn unsent. The connection's writer calls begin
+// and the peer's actor withdraw, possibly at the same time; exactly one of them succeeds.
 type firstWrite struct{ state atomic.Int32 }
 
 // States of a firstWrite.
