Order the list's reads in the routing tests before its later writes

The harness posts to each actor after it has read its state, which orders the two; to the list it posted before the read. Until now nothing changed the list while a test slept.

go test -race ./internal/routing three times: passed. No check changes.

--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -190,10 +190,10 @@
 func (h *harness) sleep(d time.Duration) {
 	nothing := func() {}
 	synctest.Wait()
-	h.list.Post(nothing)
 	for _, host := range h.list.hosts {
 		host.peer.Post(nothing)
 	}
+	h.list.Post(nothing) // after the list was read here
 	h.core.Post(nothing)
 	synctest.Wait()
 	time.Sleep(d)
