Read the pending releases under their lock in TestPendingReleasesAreBounded

go test -race ./internal/protocol/jsonl: passed, and its release tests twice more. What the test asks is the same.

--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -330,6 +330,8 @@
 	for i := range maxPendingReleases + 9 {
 		b.front.Orphan(fmt.Sprintf("%016x", i), 16)
 	}
+	b.front.releases.mu.Lock()
+	defer b.front.releases.mu.Unlock()
 	if n := len(b.front.releases.pending); n != maxPendingReleases {
 		t.Errorf("%d releases wait, want at most %d", n, maxPendingReleases)
 	}
