--- a/review/second/bus.go
+++ b/review/second/bus.go
@@ -83,19 +83,6 @@
 	b.lab.note("%s: event is in the bus: %s", b.name, text)
 }
 
-// close takes no new connections, and closes the open ones after a while.
-func (b *eventBus) close(after time.Duration) {
-	b.listener.Close()
-	b.lab.note("%s: takes no new connection", b.name)
-	time.AfterFunc(after, func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		for c := range b.conns {
-			c.Close()
-		}
-	})
-}
-
 func (b *eventBus) serve(c net.Conn) {
 	defer func() {
 		b.mu.Lock()
