--- a/review/second/case_discovery.go
+++ b/review/second/case_slowbus.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["9"] = caseSlowBus }
+func init() { cases["10"] = caseSlowBus }
 
 // drainWatch judges the set-ups that reach a menu server which drains.
 type drainWatch struct {
--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -67,6 +67,8 @@
 	config string
 	cmd    *exec.Cmd
 	ended  chan struct{}
+
+	reached bool // the operators' address has answered, whatever it said
 }
 
 // runCommand returns the command of the deploy file that starts one gatekeeper.
@@ -168,6 +170,7 @@
 		return false
 	}
 	response.Body.Close()
+	g.reached = true
 	return response.StatusCode/100 == 2
 }
 
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -265,3 +265,15 @@
 	return "SIP/2.0 200 OK\r\n" + via + "\r\nFrom: " + m.header.Get("From") + "\r\nTo: " + m.header.Get("To") + "\r\nCall-ID: " +
 		m.header.Get("Call-Id") + "\r\nCSeq: " + m.header.Get("Cseq") + "\r\nContent-Length: 0\r\n\r\n"
 }
+
+// standing returns the ids of the calls that stand.
+func (s *menuServer) standing() (ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, call := range s.calls {
+		if call.standing {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
