--- a/review/second/callers.go
+++ b/review/second/callers.go
@@ -34,8 +34,7 @@
 
 // callers is the side of the callers: a book of all their set-ups.
 type callers struct {
-	lab      *lab
-	confirms bool // they send "closed" for a release; the protocol leaves them free to
+	lab *lab
 
 	mu    sync.Mutex
 	calls map[string]*callState
@@ -43,7 +42,7 @@
 }
 
 func (l *lab) newCallers() *callers {
-	return &callers{lab: l, confirms: true, calls: map[string]*callState{}}
+	return &callers{lab: l, calls: map[string]*callState{}}
 }
 
 // callerConn is one connection of callers.
@@ -147,7 +146,7 @@
 		c.open--
 		c.mu.Unlock()
 	}
-	if over && b.confirms {
+	if over {
 		text, _ := json.Marshal(jsonMessage{Msg: "closed", Sid: m.Sid, Attrs: map[string]string{}})
 		c.Write(append(text, '\n'))
 	}
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -52,11 +52,10 @@
 	lab      *lab
 	name     string
 	listener net.Listener
-	delay    func() time.Duration                  // from a set-up to its answer
-	hold     func() time.Duration                  // from the answer to the end of the call; nil: it stands
-	describe func(id string) string                // description of an answer
-	onSetup  func(id string, first time.Time)      // a set-up has arrived
-	onEnd    func(id string, cause int, by string) // a call that stood is over
+	delay    func() time.Duration             // from a set-up to its answer
+	hold     func() time.Duration             // from the answer to the end of the call; nil: it stands
+	describe func(id string) string           // description of an answer
+	onSetup  func(id string, first time.Time) // a set-up has arrived
 
 	mu    sync.Mutex
 	conns []*serverSide
@@ -200,13 +199,9 @@
 	case "BYE":
 		c.send(answer(m, "200 OK", s.report(), ""))
 		s.mu.Lock()
-		call := s.calls[id]
 		delete(s.calls, id)
 		s.mu.Unlock()
 		s.lab.note("%s: BYE %s", s.name, id)
-		if call != nil && call.standing && s.onEnd != nil {
-			s.onEnd(id, 0, "gatekeeper")
-		}
 	case "OPTIONS":
 		c.send(answer(m, "200 OK", "", ""))
 	}
@@ -245,9 +240,6 @@
 	}
 	m := "BYE sip:gatekeeper@net SIP/2.0\r\nVia: SIP/2.0/TCP server\r\nCall-ID: " + id + "\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=" +
 		strconv.Itoa(cause) + "\r\n" + s.report() + "Content-Length: 0\r\n\r\n"
-	if s.onEnd != nil {
-		s.onEnd(id, cause, "server")
-	}
 	s.mu.Lock()
 	s.again = append(s.again, m)
 	s.mu.Unlock()
