--- a/review/second/case_flood.go
+++ b/review/second/case_flood.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -80,6 +81,7 @@
 func caseFlood(l *lab) {
 	g, book, stop := floodDeployment(l, "")
 	var clients sync.WaitGroup
+	var sent, answered atomic.Int64
 	if l.trouble {
 		l.note("%d bad clients begin", badClients)
 		for range badClients {
@@ -87,20 +89,21 @@
 			go func() {
 				defer clients.Done()
 				for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && g.alive(); {
-					hundredsAtOnce(g.listen, hundredsOfRequests)
+					hundredsAtOnce(g.listen, hundredsOfRequests, &sent, &answered)
 				}
 			}()
 		}
 	}
 	g.awaitEnd(20 * time.Second)
 	clients.Wait()
+	l.note("bad clients: %d set-ups sent, %d messages read", sent.Load(), answered.Load())
 	close(stop)
 	time.Sleep(3200 * time.Millisecond)
 	book.checkAnswers(l)
 }
 
 // hundredsAtOnce opens a connection, sends set-ups at full speed, and reads what it is sent until all are answered, for 3 s at most.
-func hundredsAtOnce(addr string, n int) {
+func hundredsAtOnce(addr string, n int, sent, read *atomic.Int64) {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		time.Sleep(20 * time.Millisecond)
@@ -115,6 +118,7 @@
 			if _, err := in.ReadBytes('\n'); err != nil {
 				return
 			}
+			read.Add(1)
 		}
 	}()
 	text := strings.Repeat("a=sendrecv ", 1300) // a message is under 16 KiB
@@ -125,6 +129,7 @@
 		if err != nil {
 			return
 		}
+		sent.Add(1)
 	}
 	out.Flush()
 	select {
--- a/review/second/case_sipflood.go
+++ b/review/second/case_sipflood.go
@@ -36,6 +36,7 @@
 	}
 	defer c.Close()
 	own, body, count := c.LocalAddr().String(), strings.Repeat("a=sendrecv\r\n", 1200), 0
+	finals := 0
 	invite := func() {
 		id := newID()
 		count++
@@ -50,7 +51,7 @@
 	for {
 		select {
 		case <-stop:
-			l.note("the bad client has sent %d INVITEs", count)
+			l.note("the bad client has sent %d INVITEs and read %d final answers", count, finals)
 			return
 		default:
 		}
@@ -66,6 +67,7 @@
 		if err != nil || !strings.HasPrefix(m.start, "SIP/2.0 ") || m.start[8] == '1' {
 			continue
 		}
+		finals++
 		fmt.Fprintf(udpWriter{c, address}, "ACK sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: %s\r\nMax-Forwards: 70\r\nFrom: %s\r\nTo: %s\r\nCall-ID: %s\r\n"+
 			"CSeq: 1 ACK\r\nContent-Length: 0\r\n\r\n", m.header.Get("Via"), m.header.Get("From"), m.header.Get("To"), m.header.Get("Call-Id"))
 		invite()
