--- a/review/second/case_flood.go
+++ b/review/second/case_flood.go
@@ -73,7 +73,7 @@
 
 // badClients is how many clients send hundredsOfRequests at once.
 const (
-	badClients         = 30
+	badClients         = 60
 	hundredsOfRequests = 300
 )
 
