Release one attempt at one server, not whatever the call's id finds

What callers saw: a SIP server's process died under a set-up and came back; the call, which stood at another server by then, was ended there by the release that had waited for the first.

Cause: a release was known by the id of its call, and the SIP agent looked the dialog up by that id alone, whatever server it is with. Change: releases carry the attempt (AttemptRef) from the core over the peer's waiting ones to the connection; the agent finds a server's dialog by its attempt. The end of an earlier attempt's dialog no longer deletes the later one's stored record.

--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -69,11 +69,12 @@
 	transactionLayer *transactionLayer
 	udp              *udpSocket // nil if disabled
 	tcp              *transport.Listener
-	tcpConns         map[string]*transport.Conn // open TCP connections, by remote address
-	pendingCalls     map[*serverTx]*uasCall     // set-ups without a final answer
-	dialogs          map[string]*dialog         // by dialog.key
-	dialogsByID      map[string]*dialog         // by dialog.storeKey: the core's call id and the side
-	serverConns      map[string]*serverConn     // by transport and server address
+	tcpConns         map[string]*transport.Conn     // open TCP connections, by remote address
+	pendingCalls     map[*serverTx]*uasCall         // set-ups without a final answer
+	dialogs          map[string]*dialog             // by dialog.key
+	dialogsByID      map[string]*dialog             // by dialog.storeKey: the core's call id and the side
+	dialogsByAttempt map[routing.AttemptRef]*dialog // those with servers that this process has opened
+	serverConns      map[string]*serverConn         // by transport and server address
 	draining         bool
 	refusing         bool // new set-ups are refused, because the process is about to exit
 	closeOnce        sync.Once
@@ -89,7 +90,8 @@
 	}
 	a := &Agent{Actor: actor.New(), Options: options, core: core, tcpConns: map[string]*transport.Conn{},
 		pendingCalls: map[*serverTx]*uasCall{}, dialogs: map[string]*dialog{}, dialogsByID: map[string]*dialog{},
-		serverConns: map[string]*serverConn{}}
+		dialogsByAttempt: map[routing.AttemptRef]*dialog{},
+		serverConns:      map[string]*serverConn{}}
 	a.transactionLayer = newTransactionLayer(options.Timers, a.After)
 	return a
 }
--- a/internal/protocol/sip/agent_dialogs.go
+++ b/internal/protocol/sip/agent_dialogs.go
@@ -10,6 +10,9 @@
 func (a *Agent) addDialog(d *dialog) {
 	a.dialogs[d.key()] = d
 	a.dialogsByID[d.storeKey()] = d
+	if d.Server {
+		a.dialogsByAttempt[d.attempt] = d
+	}
 	if a.Dialogs != nil {
 		a.Dialogs.Put(d.storeKey(), d.record())
 	}
@@ -19,9 +22,13 @@
 func (a *Agent) dropDialog(d *dialog) {
 	d.ended = true
 	delete(a.dialogs, d.key())
-	if a.dialogsByID[d.storeKey()] == d {
-		delete(a.dialogsByID, d.storeKey())
+	if a.dialogsByAttempt[d.attempt] == d {
+		delete(a.dialogsByAttempt, d.attempt)
+	}
+	if a.dialogsByID[d.storeKey()] != d { // that of a later attempt, whose record has replaced this one's
+		return
 	}
+	delete(a.dialogsByID, d.storeKey())
 	if a.Dialogs != nil {
 		a.Dialogs.Delete(d.storeKey())
 	}
--- a/internal/protocol/sip/dialog.go
+++ b/internal/protocol/sip/dialog.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+
+	"beammux/internal/routing"
 )
 
 // dialog is one side of an established call (RFC 3261, 12). Its exported fields are the stored record.
@@ -23,7 +25,8 @@
 	Proto     string   `json:"Proto"` // transport of the set-up, "UDP" or "TCP"
 
 	flow      flow
-	conn      *serverConn // connection of a dialog with a server; nil after a restart
+	conn      *serverConn        // connection of a dialog with a server; nil after a restart
+	attempt   routing.AttemptRef // that opened a dialog with a server; empty after a restart
 	callerLeg *uasCall
 	ended     bool
 }
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -81,8 +81,9 @@
 
 // sentRelease is a BYE that was sent on a platformConn.
 type sentRelease struct {
-	cause int
-	at    time.Time
+	attempt routing.AttemptRef
+	cause   int
+	at      time.Time
 }
 
 // Thresholds for detecting a silent connection: it is open, but nothing arrives on it any more. Its set-ups are lost, and so
@@ -161,13 +162,14 @@
 	}
 }
 
-// Release implements routing.ServerConn. A release without a response when the connection ends is reported as lost.
-func (c *platformConn) Release(id string, cause int) {
-	if !c.trackRelease(id, cause) {
-		c.events.ReleaseLost(id, cause)
+// Release implements routing.ServerConn. A menu server knows a call by its id alone. A release without a response when the connection
+// ends is reported as lost.
+func (c *platformConn) Release(r routing.AttemptRef, cause int) {
+	if !c.trackRelease(r, cause) {
+		c.events.ReleaseLost(r, cause)
 		return
 	}
-	m := platformRequest("BYE", id, "", "BYE")
+	m := platformRequest("BYE", r.ID(), "", "BYE")
 	m.Set("CSeq", "2 BYE").Set("Reason", fmt.Sprintf("Q.850;cause=%d", cause))
 	c.writeMessage(m)
 }
@@ -206,7 +208,7 @@
 }
 
 // trackRelease records a BYE, and reports false if the connection has ended.
-func (c *platformConn) trackRelease(id string, cause int) bool {
+func (c *platformConn) trackRelease(attempt routing.AttemptRef, cause int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.releases == nil {
@@ -216,7 +218,7 @@
 		maps.DeleteFunc(c.releases, func(_ string, r sentRelease) bool { return time.Since(r.at) > releaseConfirmTime })
 	}
 	if len(c.releases) < maxUnconfirmedReleases {
-		c.releases[id] = sentRelease{cause, time.Now()}
+		c.releases[attempt.ID()] = sentRelease{attempt, cause, time.Now()}
 	}
 	return true
 }
@@ -228,9 +230,9 @@
 	lost := c.releases
 	c.releases = next
 	c.mu.Unlock()
-	for id, r := range lost {
+	for _, r := range lost {
 		if time.Since(r.at) <= releaseConfirmTime {
-			c.events.ReleaseLost(id, r.cause)
+			c.events.ReleaseLost(r.attempt, r.cause)
 		}
 	}
 }
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -48,10 +48,12 @@
 func (t *eventRecorder) Released(id string, cause int, report []float64) {
 	t.events <- releasedEvent{id, cause, report}
 }
-func (t *eventRecorder) Report(r []float64)               { t.events <- r }
-func (t *eventRecorder) ReleaseLost(id string, cause int) { t.events <- lostReleaseEvent{id, cause} }
-func (t *eventRecorder) Silent()                          { t.events <- silentEvent{} }
-func (t *eventRecorder) Down(err error)                   { t.events <- errors.Is(err, io.EOF) }
+func (t *eventRecorder) Report(r []float64) { t.events <- r }
+func (t *eventRecorder) ReleaseLost(r routing.AttemptRef, cause int) {
+	t.events <- lostReleaseEvent{r.ID(), cause}
+}
+func (t *eventRecorder) Silent()        { t.events <- silentEvent{} }
+func (t *eventRecorder) Down(err error) { t.events <- errors.Is(err, io.EOF) }
 
 type platformFixture struct {
 	t             *testing.T
@@ -160,7 +162,7 @@
 	if m, err := b.in.Next(); err != nil || m.Status != 200 {
 		t.Fatalf("%+v, %v", m, err)
 	}
-	b.client.Release("78", 16)
+	b.client.Release(routing.NewAttemptRef("78", 0), 16)
 	if m := b.next("BYE"); m.Get("Call-ID") != "78" || m.Get("Reason") != "Q.850;cause=16" {
 		t.Errorf("%+v", m)
 	}
@@ -348,7 +350,7 @@
 	b.client.Cancel("1")
 	verdict <- false
 	b.event(failedEvent{"7f3a", routing.Outcome{Code: control.NotSent}})
-	b.client.Release("2", 16)
+	b.client.Release(routing.NewAttemptRef("2", 0), 16)
 	if m := b.next("BYE"); m.Get("Call-ID") != "2" {
 		t.Errorf("first on the wire: %s %s", m.Method, m.Get("Call-ID"))
 	}
@@ -446,15 +448,15 @@
 func TestUnconfirmedReleaseIsReported(t *testing.T) {
 	b := newPlatformFixture(t)
 	const confirmed, unread = "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"
-	b.client.Release(confirmed, 16)
+	b.client.Release(routing.NewAttemptRef(confirmed, 0), 16)
 	bye := b.next("BYE")
 	b.serverSide.Write(Respond(bye, 200, "OK").Append(nil))
-	b.client.Release(unread, 41)
+	b.client.Release(routing.NewAttemptRef(unread, 0), 41)
 	b.next("BYE")
 	b.serverSide.Close()
 	b.event(lostReleaseEvent{unread, 41})
 	b.event(true)
-	b.client.Release(unread, 41)
+	b.client.Release(routing.NewAttemptRef(unread, 0), 41)
 	b.event(lostReleaseEvent{unread, 41})
 }
 
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -186,7 +186,7 @@
 func (u *uac) handleAnswer(m *Message) {
 	a := u.conn.agent
 	d := dialogFromResponse(m, u.attempt.ID(), u.conn.flow.proto())
-	d.flow, d.conn = u.conn.flow, u.conn
+	d.flow, d.conn, d.attempt = u.conn.flow, u.conn, u.attempt.AttemptRef
 	if u.dialog != nil {
 		if d.key() == u.dialog.key() {
 			a.sendAck(u.dialog)
@@ -259,10 +259,11 @@
 	})
 }
 
-// Release implements routing.ServerConn.
-func (c *serverConn) Release(id string, cause int) {
+// Release implements routing.ServerConn. A release that waited for the connection may come after a later attempt of the call has
+// opened a dialog with another server, so it ends the dialog of its own attempt alone.
+func (c *serverConn) Release(r routing.AttemptRef, cause int) {
 	c.agent.Post(func() {
-		if d := c.agent.dialogsByID[id+"/server"]; d != nil {
+		if d := c.agent.dialogsByAttempt[r]; d != nil {
 			c.agent.hangup(d, cause)
 		}
 	})
@@ -275,7 +276,7 @@
 		if a.serverConns[c.key] == c {
 			delete(a.serverConns, c.key)
 		}
-		for _, d := range a.dialogsByID {
+		for _, d := range a.dialogs {
 			if d.conn == c {
 				a.dropDialog(d)
 			}
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -46,7 +46,7 @@
 			}
 		})
 	}
-	next.peer.setup(Attempt{attemptRef: attemptRef{call.ID, next.number}, Class: call.Class, Key: call.Key, Body: call.Body,
+	next.peer.setup(Attempt{AttemptRef: call.refOf(next), Class: call.Class, Key: call.Key, Body: call.Body,
 		Deadline: time.Now().Add(span(timeLeft)), level: c.levelOf(action.Server), givenUp: next.givenUp, caller: call.caller})
 }
 
@@ -61,7 +61,7 @@
 	a.expiry.Stop()
 	c.noteEnded(call, a, code)
 	c.observeEnd(call, a, code)
-	a.peer.cancel(attemptRef{call.ID, a.number})
+	a.peer.cancel(call.refOf(a))
 	call.releaseLateAnswer(a.peer)
 	c.handle(control.AttemptEnded{ID: call.ID, Attempt: a.number, Server: a.server, Code: code,
 		Elapsed: c.clock.now() - a.sentAt, Settled: settled})
@@ -85,7 +85,7 @@
 const OverdueAfter = 400 * time.Millisecond
 
 // attemptOf returns the call of an attempt that is in flight, or nil. It ensures that an attempt ends only once.
-func (c *Core) attemptOf(r attemptRef) *callState {
+func (c *Core) attemptOf(r AttemptRef) *callState {
 	call := c.calls[r.id]
 	if call == nil || call.established || call.current == nil || call.current.number != r.attemptNumber {
 		return nil
@@ -94,7 +94,7 @@
 }
 
 // answered handles the answer of a server that establishes a call, which has arrived on a connection.
-func (c *Core) answered(on *peerConn, r attemptRef, body []byte) {
+func (c *Core) answered(on *peerConn, r AttemptRef, body []byte) {
 	call := c.attemptOf(r)
 	if call == nil {
 		c.lateAnswer(on.peer, r)
@@ -128,7 +128,7 @@
 func (c *Core) endOvertaken(call *callState) {
 	a := call.current
 	if a.number > 0 {
-		a.peer.release(call.ID, CauseNormal)
+		a.peer.release(call.refOf(a), CauseNormal)
 	}
 	c.endReleased(call, *a.overtaken)
 }
@@ -136,30 +136,30 @@
 // lateAnswer handles the answer to a set-up that was given up: the call is released at the server, but not while another
 // attempt of the same call is in flight or established there. Servers identify a call by its id alone, so the release would
 // end that attempt as well.
-func (c *Core) lateAnswer(p *Peer, r attemptRef) {
+func (c *Core) lateAnswer(p *Peer, r AttemptRef) {
 	call := c.calls[r.id]
 	switch {
 	case call == nil || call.current == nil || !call.current.peer.sameServer(p):
-		p.release(r.id, CauseNormal)
+		p.release(r, CauseNormal)
 	case call.current.number != r.attemptNumber:
-		call.lateAnswer = true
+		call.lateAnswer = &r
 	}
 }
 
-// releaseAgain sends the release of a call again, which its server may not have read. It does not where another attempt of the call is
+// releaseAgain sends the release of an attempt again, which its server may not have read. It does not where another attempt of the call is
 // in flight or established there by now: servers identify a call by its id alone.
-func (c *Core) releaseAgain(p *Peer, id string, cause int) {
-	if call := c.calls[id]; call == nil || call.current == nil || !call.current.peer.sameServer(p) {
-		p.release(id, cause)
+func (c *Core) releaseAgain(p *Peer, r AttemptRef, cause int) {
+	if call := c.calls[r.id]; call == nil || call.current == nil || !call.current.peer.sameServer(p) {
+		p.release(r, cause)
 	}
 }
 
 // releaseLateAnswer releases the call at a server that answered a given-up attempt late. It is called once no attempt of
 // the call is in flight at that server.
 func (call *callState) releaseLateAnswer(p *Peer) {
-	if call.lateAnswer {
-		call.lateAnswer = false
-		p.release(call.ID, CauseNormal)
+	if late := call.lateAnswer; late != nil {
+		call.lateAnswer = nil
+		p.release(*late, CauseNormal)
 	}
 }
 
@@ -172,7 +172,7 @@
 }
 
 // failed handles the end of an attempt that did not establish the call.
-func (c *Core) failed(r attemptRef, o Outcome) {
+func (c *Core) failed(r AttemptRef, o Outcome) {
 	call := c.attemptOf(r)
 	if call == nil {
 		return
@@ -293,7 +293,7 @@
 			continue
 		}
 		if loss.processMayLive() {
-			p.release(call.ID, CauseNormal)
+			p.release(call.refOf(call.current), CauseNormal)
 		}
 		c.endings.Info("call ended with its server", logrus.Fields{"call": call.ID, "server": p.server, "reason": loss})
 		c.endEstablished(call, control.Cut, CauseFailed, nil)
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -98,10 +98,13 @@
 	graceEnds     control.Micros // end of the module's grace period, which follows the deadline
 	graceRenewals int            // how often the grace period was renewed
 	quota         Quota
-	admission     *admission // nil if no quota applies
-	lateAnswer    bool       // an abandoned attempt was answered late by the server where another is in flight
+	admission     *admission  // nil if no quota applies
+	lateAnswer    *AttemptRef // an abandoned attempt that was answered late by the server where another is in flight; nil if there is none
 }
 
+// refOf returns the reference to an attempt of the call.
+func (call *callState) refOf(a *attempt) AttemptRef { return AttemptRef{call.ID, a.number} }
+
 const (
 	// decisionGrace is how long after a caller's deadline the module may still decide; then the core itself answers.
 	decisionGrace = 15 * time.Millisecond
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -231,7 +231,7 @@
 // releaseEstablished ends an established call and releases it at its server.
 func (c *Core) releaseEstablished(call *callState, cause int) {
 	a := call.current
-	a.peer.release(call.ID, cause)
+	a.peer.release(call.refOf(a), cause)
 	c.close(call)
 	c.note(history.Event{Kind: history.Released, Call: call.ID, Server: a.server, N: int64(cause)})
 	c.handle(control.AttemptEnded{ID: call.ID, Attempt: a.number, Server: a.server, Code: control.Cancelled,
--- a/internal/routing/established_test.go
+++ b/internal/routing/established_test.go
@@ -100,7 +100,7 @@
 		server.answer("1", "body")
 		synctest.Wait()
 		require.True(t, caller.established)
-		server.events.ReleaseLost("1", CauseNormal)
+		server.events.ReleaseLost(NewAttemptRef("1", 0), CauseNormal)
 		synctest.Wait()
 		require.Zero(t, server.releasesReceived["1"], "the call is established")
 		h.core.Hangup("1", CauseNormal, nil, nil)
@@ -108,7 +108,7 @@
 		require.Equal(t, 1, server.releasesReceived["1"])
 		events := server.events
 		server.reset()
-		events.ReleaseLost("1", CauseNormal)
+		events.ReleaseLost(NewAttemptRef("1", 0), CauseNormal)
 		h.sleep(time.Second)
 		require.Equal(t, 2, server.releasesReceived["1"])
 	})
--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -86,8 +86,11 @@
 	}
 }
 
-func (c fakeConn) Cancel(id string)         { delete(c.inFlight, id) }
-func (c fakeConn) Release(id string, _ int) { c.releasesReceived[id]++; delete(c.activeCalls, id) }
+func (c fakeConn) Cancel(id string) { delete(c.inFlight, id) }
+func (c fakeConn) Release(r AttemptRef, _ int) {
+	c.releasesReceived[r.id]++
+	delete(c.activeCalls, r.id)
+}
 func (c fakeConn) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/routing/peer_attempts.go
+++ b/internal/routing/peer_attempts.go
@@ -63,7 +63,7 @@
 		if len(best.inFlight) > 0 && p.redialTimer == nil {
 			p.connect() // every connection that this call can use has attempts in flight: open one more for the next attempt
 		}
-		p.releaseEarlierAttempt(best, a.id)
+		p.releaseEarlierAttempts(best, a.id)
 		best.send(a)
 	case len(p.conns) > 0 && len(p.conns) >= p.dialer.MaxConns(p.addr):
 		p.fail(a, control.NotSent)
@@ -74,16 +74,16 @@
 }
 
 // cancel gives up an attempt. The core has already ended it, so its end is not reported.
-func (p *Peer) cancel(r attemptRef) {
+func (p *Peer) cancel(r AttemptRef) {
 	p.Post(func() {
 		for i, a := range p.queued {
-			if a.attemptRef == r {
+			if a.AttemptRef == r {
 				p.queued = append(p.queued[:i:i], p.queued[i+1:]...)
 				return
 			}
 		}
 		for _, c := range p.conns {
-			if entry, ok := c.inFlight[r.id]; ok && entry.attemptRef == r {
+			if entry, ok := c.inFlight[r.id]; ok && entry.AttemptRef == r {
 				entry.cancelled = true
 				c.inFlight[r.id] = entry
 				p.After(lateAnswerTime, func() { c.forget(r) })
@@ -96,5 +96,5 @@
 
 // fail reports the end of an attempt to the core.
 func (p *Peer) fail(a Attempt, code control.Code) {
-	p.core.Post(func() { p.core.failed(a.attemptRef, Outcome{Code: code}) })
+	p.core.Post(func() { p.core.failed(a.AttemptRef, Outcome{Code: code}) })
 }
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -45,8 +45,8 @@
 }
 
 // forget removes an attempt from those in flight.
-func (c *peerConn) forget(r attemptRef) {
-	if entry, ok := c.inFlight[r.id]; ok && entry.attemptRef == r {
+func (c *peerConn) forget(r AttemptRef) {
+	if entry, ok := c.inFlight[r.id]; ok && entry.AttemptRef == r {
 		delete(c.inFlight, r.id)
 	}
 }
@@ -94,12 +94,12 @@
 	p := c.peer
 	p.Post(func() {
 		if c.closed { // the attempt was reported as cut, but the server holds the call
-			p.core.Post(func() { p.core.lateAnswer(p, a.attemptRef) })
+			p.core.Post(func() { p.core.lateAnswer(p, a.AttemptRef) })
 			return
 		}
 		c.noteMessage()
-		c.forget(a.attemptRef)
-		p.core.Post(func() { p.core.answered(c, a.attemptRef, body) })
+		c.forget(a.AttemptRef)
+		p.core.Post(func() { p.core.answered(c, a.AttemptRef, body) })
 	})
 }
 
@@ -109,8 +109,8 @@
 		if o.Code != control.NotSent { // the server has answered
 			c.noteMessage()
 		}
-		c.forget(a.attemptRef)
-		p.core.Post(func() { p.core.failed(a.attemptRef, o) })
+		c.forget(a.AttemptRef)
+		p.core.Post(func() { p.core.failed(a.AttemptRef, o) })
 	})
 }
 
@@ -135,9 +135,9 @@
 }
 
 // ReleaseLost implements ServerEvents.
-func (c *peerConn) ReleaseLost(id string, cause int) {
+func (c *peerConn) ReleaseLost(r AttemptRef, cause int) {
 	p := c.peer
-	p.Post(func() { p.core.Post(func() { p.core.releaseAgain(p, id, cause) }) })
+	p.Post(func() { p.core.Post(func() { p.core.releaseAgain(p, r, cause) }) })
 }
 
 // Silent implements ServerEvents.
--- a/internal/routing/peer_connections.go
+++ b/internal/routing/peer_connections.go
@@ -68,7 +68,7 @@
 	c.proven = true
 	p.redialWait, p.wasReset, p.disconnectedAt, p.warnedAt = minRedialWait, false, 0, 0
 	for _, r := range p.pendingReleases {
-		c.conn.Release(r.id, r.cause)
+		c.conn.Release(r.AttemptRef, r.cause)
 	}
 	p.pendingReleases = nil
 }
@@ -167,7 +167,7 @@
 		code := control.NotSent
 		if !o.write.withdraw() {
 			code = control.Cut
-			defer func() { p.core.Post(func() { p.core.releaseAgain(p, o.id, CauseNormal) }) }()
+			defer func() { p.core.Post(func() { p.core.releaseAgain(p, o.AttemptRef, CauseNormal) }) }()
 		}
 		if !o.cancelled {
 			p.fail(o.Attempt, code)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -330,7 +330,7 @@
 			a.Deadline = time.Now().Add(time.Second)
 			p.setup(a)
 			synctest.Wait()
-			p.cancel(a.attemptRef)
+			p.cancel(a.AttemptRef)
 			synctest.Wait()
 		}
 		if len(server.conns) != 3 {
--- a/internal/routing/server_conn.go
+++ b/internal/routing/server_conn.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-// attemptRef identifies one attempt of a call.
-type attemptRef struct {
+// AttemptRef identifies one attempt of a call, which was sent to one server.
+type AttemptRef struct {
 	id            string
 	attemptNumber int
 }
 
 // Attempt is one attempt to set up a call at one server, as handed to the connection.
 type Attempt struct {
-	attemptRef
+	AttemptRef
 	Class    int
 	Key      string       // called number
 	Body     []byte       // session description
@@ -30,14 +30,17 @@
 	return a.givenUp != nil && a.givenUp.Load() || a.caller != nil && a.caller.Gone()
 }
 
+// NewAttemptRef returns the reference to the attempt of a call with the given id and attempt number.
+func NewAttemptRef(id string, number int) AttemptRef { return AttemptRef{id, number} }
+
 // NewAttempt returns the attempt of a call with the given id and attempt number.
-func NewAttempt(id string, number int) Attempt { return Attempt{attemptRef: attemptRef{id, number}} }
+func NewAttempt(id string, number int) Attempt { return Attempt{AttemptRef: AttemptRef{id, number}} }
 
 // ID returns the id of the call.
-func (r attemptRef) ID() string { return r.id }
+func (r AttemptRef) ID() string { return r.id }
 
 // Number returns the number of the attempt; the attempts of a call are counted from 0.
-func (r attemptRef) Number() int { return r.attemptNumber }
+func (r AttemptRef) Number() int { return r.attemptNumber }
 
 // ServerConn is an open connection to one server. Its methods must not block; events on it are reported to the
 // ServerEvents that it was opened with.
@@ -49,8 +52,9 @@
 	// Cancel gives up a set-up: no further copy is sent. If an answer arrives later, the connection either reports it or
 	// releases the call itself.
 	Cancel(id string)
-	// Release ends an established call with a Q.850 cause.
-	Release(id string, cause int)
+	// Release ends the call that an attempt has established at the server, with a Q.850 cause. It must not end that of another attempt,
+	// as far as the protocol can tell them apart.
+	Release(r AttemptRef, cause int)
 	Close()
 }
 
@@ -60,7 +64,7 @@
 	Failed(a Attempt, o Outcome)                     // the attempt ended without an established call
 	Released(id string, cause int, report []float64) // the server ended an established call
 	Report(report []float64)                         // the server sent a load report without a request
-	ReleaseLost(id string, cause int)                // the server has not confirmed the release of a call, and may not have read it
+	ReleaseLost(r AttemptRef, cause int)             // the server has not confirmed the release of an attempt, and may not have read it
 	Silent()                                         // the server's messages stay away; the connection is still open
 	Down(err error)                                  // the connection is closed
 }
