--- a/cmd/beammux/established_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -33,15 +33,19 @@
 // connection and, if reportInterval is not zero, periodically.
 type menuServer struct {
 	reportInterval time.Duration
+	holdTime       time.Duration // after which it releases each call; 0: never
+	capacity       int           // calls that it holds at a time; further ones are refused; 0: no limit
 	listener       net.Listener
 
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	callConn map[string]net.Conn // connection of each set-up
 	released map[string]time.Time
-	accepted int    // connections
-	vanished bool   // nothing more is sent
-	unread   []byte // releases that are written on the next connection
+	accepted int                    // connections
+	held     int                    // calls whose holdTime has not passed
+	invites  map[string][]time.Time // when the set-ups of each call arrived
+	vanished bool                   // nothing more is sent
+	unread   []byte                 // releases that are written on the next connection
 }
 
 func startMenuServer(t *testing.T, reportInterval time.Duration) *menuServer {
@@ -50,7 +54,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	s := &menuServer{reportInterval: reportInterval, listener: listener, conns: map[net.Conn]struct{}{},
-		callConn: map[string]net.Conn{}, released: map[string]time.Time{}}
+		callConn: map[string]net.Conn{}, released: map[string]time.Time{}, invites: map[string][]time.Time{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -99,13 +103,22 @@
 		}
 		id := m.Get("Call-ID")
 		s.mu.Lock()
+		if m.Method == "INVITE" {
+			s.invites[id] = append(s.invites[id], time.Now())
+		}
 		switch {
 		case s.vanished:
+		case m.Method == "INVITE" && s.capacity > 0 && s.held >= s.capacity:
+			conn.Write(sip.Respond(m, 503, "Full").Append(nil))
 		case m.Method == "INVITE":
 			s.callConn[id] = conn
+			s.held++
 			answer := sip.Respond(m, 200, "OK")
 			answer.Body = []byte("answer " + id)
 			conn.Write(answer.Append(nil))
+			if s.holdTime > 0 {
+				time.AfterFunc(s.holdTime, func() { s.endCall(conn, id) })
+			}
 		case m.Method == "BYE":
 			if _, repeated := s.released[id]; !repeated {
 				s.released[id] = time.Now()
@@ -116,6 +129,14 @@
 	}
 }
 
+// endCall releases a call after its holdTime.
+func (s *menuServer) endCall(conn net.Conn, id string) {
+	s.mu.Lock()
+	s.held--
+	s.mu.Unlock()
+	s.write(conn, bye(id))
+}
+
 // write sends a message, unless the server has vanished.
 func (s *menuServer) write(conn net.Conn, message []byte) (int, error) {
 	s.mu.Lock()
--- a/cmd/beammux/serve.go
+++ b/cmd/beammux/serve.go
@@ -81,6 +81,6 @@
 		runtime.GOMAXPROCS(max(1, int(cfg.Cores+0.5)))
 	}
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 7 / 10)
+		debug.SetMemoryLimit(node.RuntimeMemory(cfg.MemoryMB))
 	}
 }
--- a/cmd/beammux/serve_test.go
+++ b/cmd/beammux/serve_test.go
@@ -28,6 +28,10 @@
 		main()
 		return
 	}
+	if name := os.Getenv(floodVariable); name != "" {
+		runFloodProcess(name)
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -7,7 +7,7 @@
 )
 
 // Actor runs the functions posted to it, one at a time and in order. The mailbox is not bounded: actors post to each other in
-// both directions, so a full mailbox could deadlock two of them. The input is bounded at the connections instead.
+// both directions, so a full mailbox could deadlock two of them. Whoever brings input from outside waits in Sync instead.
 type Actor struct {
 	mu    sync.Mutex
 	queue []func()
@@ -34,6 +34,16 @@
 	}
 }
 
+// Sync blocks until the functions that were posted before have run, or the actor is stopped. The actor itself must not call it.
+func (a *Actor) Sync() {
+	reached := make(chan struct{})
+	a.Post(func() { close(reached) })
+	select {
+	case <-reached:
+	case <-a.stop:
+	}
+}
+
 // After posts f after the duration d. A timer that is stopped late may already have posted f, so f must check that it is still
 // wanted.
 func (a *Actor) After(d time.Duration, f func()) *time.Timer {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -109,11 +109,11 @@
 }
 
 // openOperators starts to serve the operators' address if one is configured.
-func (n *Node) openOperators() error {
+func (n *Node) openOperators(network networkLimits) error {
 	if n.cfg.AdminAddr == "" {
 		return nil
 	}
-	s, err := ops.Listen(n.cfg.AdminAddr, n, n.log)
+	s, err := ops.Listen(n.cfg.AdminAddr, n, network.scheduler, n.log)
 	if err != nil {
 		return err
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,10 +46,10 @@
 // open opens all parts in the order of their dependencies.
 func (n *Node) open(ctx, startCtx context.Context) error {
 	network := n.networkLimits()
-	if err := n.openCore(ctx); err != nil {
+	if err := n.openCore(ctx, network); err != nil {
 		return err
 	}
-	if err := n.openOperators(); err != nil {
+	if err := n.openOperators(network); err != nil {
 		return err
 	}
 	if err := n.openStore(startCtx); err != nil {
@@ -89,10 +90,13 @@
 	n.closeRecords()
 }
 
-// networkLimits holds the limits that all connections share.
+// networkLimits holds the limits that all connections of both fronts share.
 type networkLimits struct {
-	budget  *transport.Budget
-	timeout time.Duration // of a dial
+	budget    *transport.Budget
+	timeout   time.Duration // of a dial
+	memory    transport.ClientMemory
+	scheduler *transport.Scheduler
+	agent     *atomic.Pointer[sip.Agent] // for the scheduler; empty until the SIP front is open
 }
 
 // networkLimits derives the limits from the configuration.
@@ -112,11 +116,13 @@
 	if timeout <= 0 {
 		timeout = defaultDialTimeout
 	}
-	return networkLimits{transport.NewBudget(max(minDescriptors, descriptors-reserved), descriptors/callerShare), timeout}
+	agent := &atomic.Pointer[sip.Agent]{}
+	return networkLimits{agent: agent, budget: transport.NewBudget(max(minDescriptors, descriptors-reserved), descriptors/callerShare), timeout: timeout,
+		memory: clientMemory(n.cfg.MemoryMB, descriptors, n.deploy.SIPUDP != ""), scheduler: n.newScheduler(agent)}
 }
 
 // openCore creates the core with its records and metrics, and the JSON lines front.
-func (n *Node) openCore(ctx context.Context) error {
+func (n *Node) openCore(ctx context.Context, network networkLimits) error {
 	recorder, err := n.openRecords()
 	if err != nil {
 		return err
@@ -131,6 +137,7 @@
 	n.core.SetLimits(n.deploy.Calls)
 	n.calls.Store(n.deploy.Calls.Version())
 	n.front = jsonl.NewFront(orphanAwareCore{n.core, n}, n.cfg.Site.ClassNames, n.log)
+	n.front.Scheduler = network.scheduler
 	if n.outliers != nil {
 		n.front.Seen = n.outliers.ObserveCaller
 	}
@@ -184,11 +191,12 @@
 	records := newDialogWriter(n.store, n.cfg.Name, n.log)
 	o := sip.Options{Classes: n.cfg.Site.ClassNames, Deadlines: deadlines,
 		DefaultClass: n.deploy.DefaultClass, Reports: n.cfg.Site.ReportNames, DialTimeout: network.timeout, Budget: network.budget,
-		Dialogs: records, Log: n.log}
+		Memory: network.memory, Scheduler: network.scheduler, Dialogs: records, Log: n.log}
 	if n.outliers != nil {
 		o.OnFirstMessage, o.IsBlocked = n.outliers.ObserveCaller, n.outliers.Blocked
 	}
 	n.agent = sip.NewAgent(n.core, o)
+	network.agent.Store(n.agent)
 	if err := n.agent.Listen(n.deploy.SIPUDP, n.deploy.SIPTCP); err != nil {
 		return err
 	}
@@ -201,6 +209,7 @@
 	if n.listener, err = transport.Listen(n.cfg.Listen, network.budget); err != nil {
 		return err
 	}
+	n.listener.Memory = network.memory
 	if n.agent != nil {
 		n.agent.Serve()
 		n.log.WithFields(logrus.Fields{"udp": n.agent.Addr("UDP"), "tcp": n.agent.Addr("TCP")}).Info("SIP front serving")
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -29,6 +29,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"beammux/internal/transport"
 )
 
 // Timeouts and bounds of the server.
@@ -75,17 +77,18 @@
 	return host, port, err
 }
 
-// Listen binds the address and serves the requests to a gatekeeper on it until Close.
-func Listen(addr string, g Gatekeeper, log logrus.FieldLogger) (*Server, error) {
-	return listen(addr, Handler(g), log)
+// Listen binds the address and serves the requests to a gatekeeper on it until Close. scheduler, which may be nil, shares the processor
+// between the operators' connections and the clients.
+func Listen(addr string, g Gatekeeper, scheduler *transport.Scheduler, log logrus.FieldLogger) (*Server, error) {
+	return listen(addr, Handler(g), scheduler, log)
 }
 
 // ListenProcess is like Listen for a process that is not a gatekeeper: it serves only readiness and metrics.
 func ListenProcess(addr string, p Process, log logrus.FieldLogger) (*Server, error) {
-	return listen(addr, processHandler(p), log)
+	return listen(addr, processHandler(p), nil, log)
 }
 
-func listen(addr string, handler http.Handler, log logrus.FieldLogger) (*Server, error) {
+func listen(addr string, handler http.Handler, scheduler *transport.Scheduler, log logrus.FieldLogger) (*Server, error) {
 	if _, _, err := SplitAddress(addr); err != nil {
 		return nil, err
 	}
@@ -93,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: &limitListener{Listener: ln}}
+	s := &Server{ln: &limitListener{Listener: ln, scheduler: scheduler}}
 	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(io.Discard, "", 0)} // aborted requests are frequent and not worth logging
@@ -171,11 +174,12 @@
 // limitListener is a listener that keeps at most MaxOpenConns connections open, so that many silent clients use a bounded
 // number of descriptors. Over the limit it closes the oldest connection: a proper request is answered within milliseconds, so
 // the oldest connection belongs to a client that sends nothing or half a request. Accept never waits for a connection to
-// close.
+// close. It accepts one connection, which carries one request, in each of its turns.
 type limitListener struct {
 	net.Listener
-	mu   sync.Mutex
-	open []*limitedConn // oldest first
+	scheduler *transport.Scheduler
+	mu        sync.Mutex
+	open      []*limitedConn // oldest first
 }
 
 // Accept implements net.Listener.
@@ -185,6 +189,12 @@
 		return nil, err
 	}
 	conn := &limitedConn{Conn: c, listener: b}
+	b.scheduler.Do(func() { b.add(conn) })
+	return conn, nil
+}
+
+// add adds an open connection, and closes the oldest one over the limit.
+func (b *limitListener) add(conn *limitedConn) {
 	var oldest *limitedConn
 	b.mu.Lock()
 	if len(b.open) >= MaxOpenConns {
@@ -196,7 +206,6 @@
 	if oldest != nil {
 		oldest.Conn.Close()
 	}
-	return conn, nil
 }
 
 // remove removes a closed connection from the open ones.
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -24,7 +24,7 @@
 // limit, and a proper request is answered immediately.
 func TestSilentClientsBeyondLimit(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
-	s, err := Listen("127.0.0.1:0", &fake{ready: true}, log)
+	s, err := Listen("127.0.0.1:0", &fake{ready: true}, nil, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 func TestRejoinDuringShutdown(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
 	for want, g := range map[int]Gatekeeper{http.StatusOK: &fake{}, http.StatusConflict: &shuttingDown{}} {
-		s, err := Listen("127.0.0.1:0", g, log)
+		s, err := Listen("127.0.0.1:0", g, nil, log)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -59,10 +59,14 @@
 	// Seen, if not nil, is called for each connection with the caller's address: with true at its first valid message, and with
 	// false when it ends because of an invalid message or sends none in time. It must be set before the first call of Serve.
 	Seen func(address string, good bool)
+	// Scheduler shares the processor between the connections; nil: messages are processed at once. It must be set before the first
+	// call of Serve.
+	Scheduler *transport.Scheduler
 
 	core     Core
 	classes  map[string]int
 	log      logrus.FieldLogger
+	badInput *loglimit.Limiter // log of bad messages
 	releases *releaseDelivery
 	draining atomic.Bool
 	closing  atomic.Bool
@@ -75,7 +79,7 @@
 // NewFront returns a front. classes are the names of the classes in the order of the settings.
 func NewFront(core Core, classes []string, log logrus.FieldLogger) *Front {
 	f := &Front{core: core, classes: map[string]int{}, established: map[string]*conn{}, log: log,
-		releases: newReleaseDelivery(loglimit.New(log))}
+		badInput: loglimit.New(log), releases: newReleaseDelivery(loglimit.New(log))}
 	for i, name := range classes {
 		f.classes[name] = i
 	}
@@ -136,8 +140,14 @@
 	excess     bool          // new set-ups are excess; only for the reading goroutine
 	kind       peerKind      // guarded by releaseDelivery
 	confirms   bool          // a release was confirmed on it; guarded by releaseDelivery
+	// unconfirmed is how many releases were not confirmed in time although the client went on sending; guarded by releaseDelivery
+	unconfirmed int
+	receivedAt  atomic.Int64 // when the last message was received, in Unix nanoseconds
 }
 
+// receivedAfter reports whether a message was received after a time.
+func (c *conn) receivedAfter(t time.Time) bool { return c.receivedAt.Load() > t.UnixNano() }
+
 // send queues a message and reports whether that succeeded.
 func (c *conn) send(m Message) bool {
 	return c.Send(transport.Packet{Data: m.Append(nil)}) == nil
@@ -154,14 +164,36 @@
 	return true
 }
 
+// takeSetup removes a set-up from the open ones, and reports whether it was one.
+func (c *conn) takeSetup(setup *caller) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[setup.id] != setup {
+		return false
+	}
+	delete(c.open, setup.id)
+	c.Unhold()
+	return true
+}
+
 // removeSetup removes a set-up that has its final answer.
 func (c *conn) removeSetup(setup *caller) {
-	c.mu.Lock()
-	if c.open[setup.id] == setup {
-		delete(c.open, setup.id)
-		c.Unhold()
+	if c.takeSetup(setup) {
+		c.Requests().Release(setup.reserved)
 	}
-	c.mu.Unlock()
+	c.signalEnded()
+}
+
+// withdrawSetup removes a set-up that its caller has given up. Servers may still answer it, so part of its memory stays reserved.
+func (c *conn) withdrawSetup(setup *caller) {
+	if c.takeSetup(setup) {
+		setup.releaseWithdrawn()
+	}
+	c.signalEnded()
+}
+
+// signalEnded signals that a set-up has ended.
+func (c *conn) signalEnded() {
 	select {
 	case c.setupEnded <- struct{}{}:
 	default:
@@ -245,20 +277,20 @@
 	firstDeadline := time.Now().Add(firstMessageTimeout)
 	r := NewReader(bufio.NewReaderSize(tc, MaxMessage))
 	for {
-		m, err := c.readMessage(r, firstDeadline)
+		line, err := c.readLine(r, firstDeadline)
 		if err == nil {
-			isFirst := !firstDeadline.IsZero()
+			f.Scheduler.Do(func() {
+				if err = f.handleLine(c, line); err == nil && !firstDeadline.IsZero() {
+					report(true)
+				}
+			})
 			firstDeadline = time.Time{}
-			c.NoteMessage()
-			if err = f.handle(c, &m); err == nil && isFirst {
-				report(true)
-			}
 		}
 		switch {
 		case err == nil:
 			c.limitOpen()
 		case errors.Is(err, ErrTooLong), errors.Is(err, ErrMalformed):
-			log.WithError(err).Warn("bad message: connection closed")
+			f.badInput.Warn("bad message: connection closed", logrus.Fields{"caller": tc.RemoteAddr(), "error": err})
 			report(false)
 			c.awaitAnswers()
 			return
@@ -278,9 +310,20 @@
 	}
 }
 
-// readMessage reads a message within the time-outs. firstDeadline is the deadline of the connection's first message, and
+// handleLine handles the message in a line. An error ends the connection.
+func (f *Front) handleLine(c *conn, line []byte) error {
+	m, err := parse(line)
+	if err != nil {
+		return err
+	}
+	c.NoteMessage()
+	c.receivedAt.Store(time.Now().UnixNano())
+	return f.handle(c, &m)
+}
+
+// readLine reads a line within the time-outs. firstDeadline is the deadline of the connection's first message, and
 // zero after it.
-func (c *conn) readMessage(r *Reader, firstDeadline time.Time) (Message, error) {
+func (c *conn) readLine(r *Reader, firstDeadline time.Time) ([]byte, error) {
 	for {
 		limit := firstDeadline
 		if firstDeadline.IsZero() {
@@ -296,12 +339,12 @@
 			err = r.Wait()
 		}
 		if err != nil {
-			return Message{}, err
+			return nil, err
 		}
 		if firstDeadline.IsZero() {
 			c.SetReadDeadline(time.Now().Add(messageTimeout))
 		}
-		return r.Next()
+		return r.nextLine()
 	}
 }
 
@@ -329,6 +372,7 @@
 	c.mu.Unlock()
 	for id, setup := range open {
 		c.Unhold()
+		setup.releaseWithdrawn()
 		f.core.Withdraw(id, setup, nil)
 	}
 	f.releases.removeConn(c)
@@ -361,7 +405,7 @@
 		var openCaller routing.Caller
 		if setup := c.openSetup(m.ID); setup != nil {
 			setup.cancelled.Store(true)
-			c.removeSetup(setup)
+			c.withdrawSetup(setup)
 			openCaller = setup
 		}
 		f.removeCall(m.ID)
@@ -413,7 +457,10 @@
 		return errClosing
 	}
 	f.releases.noteKind(c, callerPeer)
-	setup.Excess = c.excess || f.closing.Load()
+	setup.Excess = c.excess || f.closing.Load() || !newCaller.reserve(len(setup.Body))
+	if setup.Excess {
+		setup.Body = nil // it is sent to no server
+	}
 	f.core.Open(setup, newCaller)
 	return nil
 }
@@ -468,9 +515,35 @@
 	front     *Front
 	conn      *conn
 	id        string
+	reserved  int // bytes of the connection's account that the set-up holds
 	cancelled atomic.Bool
 }
 
+// Memory of a set-up.
+const (
+	setupOverhead   = 2 << 10 // bytes of the state of a set-up, without its description
+	bodyCopies      = 3       // of the description: that of the core, that in a write queue, and the server's answer
+	withdrawnMemory = 1 << 10 // bytes of the state of a set-up that was given up
+)
+
+// reserve reserves the memory of a set-up with a description of a length. It reports false if the client holds too much.
+func (c *caller) reserve(body int) bool {
+	n := setupOverhead + bodyCopies*body
+	if !c.conn.Requests().Reserve(n) {
+		return false
+	}
+	c.reserved = n
+	return true
+}
+
+// releaseWithdrawn releases the memory of a set-up that was given up: its state only after servers can't answer it any more.
+func (c *caller) releaseWithdrawn() {
+	if c.reserved > 0 {
+		c.conn.Requests().Release(c.reserved - withdrawnMemory)
+		c.conn.Requests().ReleaseAfter(withdrawnMemory, routing.LateAnswerTime)
+	}
+}
+
 // Gone implements routing.Caller. It reports whether the caller cancelled the call or left.
 func (c *caller) Gone() bool { return c.cancelled.Load() || c.conn.PeerClosed() }
 
--- a/internal/protocol/jsonl/message.go
+++ b/internal/protocol/jsonl/message.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"strconv"
 
@@ -27,11 +28,15 @@
 	Text  string
 }
 
+// maxValues is the maximum number of values in a line, at any depth. It bounds the time and the memory that the parser needs for it.
+const maxValues = 256
+
+// parsers holds parsers that are not in use. A parser keeps memory for the largest line that it has parsed, so that connections must
+// not have one each.
+var parsers fastjson.ParserPool
+
 // Reader reads messages. The size of its buffer limits the length of a line.
-type Reader struct {
-	in     *bufio.Reader
-	parser fastjson.Parser
-}
+type Reader struct{ in *bufio.Reader }
 
 // NewReader returns a reader of in, whose buffer should hold MaxMessage bytes.
 func NewReader(in *bufio.Reader) *Reader { return &Reader{in: in} }
@@ -44,26 +49,53 @@
 
 // Next returns the next message. After ErrTooLong or ErrMalformed the stream can't be read further, and the message holds the
 // fields that could be decoded.
-func (r *Reader) Next() (m Message, err error) {
-	var line []byte
-	for len(line) == 0 { // skip blank lines
+func (r *Reader) Next() (Message, error) {
+	line, err := r.nextLine()
+	if err != nil {
+		return Message{}, err
+	}
+	return parse(line)
+}
+
+// nextLine returns the next line that is not blank, without its end. It is valid until the next read.
+func (r *Reader) nextLine() (line []byte, err error) {
+	for len(line) == 0 {
 		line, err = r.in.ReadSlice('\n')
 		if err == bufio.ErrBufferFull {
-			return m, ErrTooLong
+			return nil, ErrTooLong
 		}
 		if err != nil {
-			return m, err
+			return nil, err
 		}
-		for len(line) > 0 && (line[len(line)-1] == '\n' || line[len(line)-1] == '\r') {
-			line = line[:len(line)-1]
+		line = bytes.TrimRight(line, "\r\n")
+	}
+	return line, nil
+}
+
+// hasTooManyValues reports whether a line has more than maxValues separators and opening brackets outside of its strings.
+func hasTooManyValues(line []byte) bool {
+	values, quoted := 0, false
+	for i := 0; i < len(line); i++ {
+		switch c := line[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case !quoted && (c == ',' || c == '{' || c == '['):
+			values++
 		}
 	}
-	return parse(&r.parser, line)
+	return values > maxValues
 }
 
-// parse decodes one line.
-func parse(p *fastjson.Parser, line []byte) (m Message, err error) {
-	v, err := p.ParseBytes(line)
+// parse decodes one line. The message does not refer to it.
+func parse(line []byte) (m Message, err error) {
+	if hasTooManyValues(line) {
+		return m, ErrMalformed
+	}
+	parser := parsers.Get()
+	defer parsers.Put(parser)
+	v, err := parser.ParseBytes(line)
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return m, ErrMalformed
 	}
--- a/internal/protocol/jsonl/release.go
+++ b/internal/protocol/jsonl/release.go
@@ -39,6 +39,8 @@
 	waiting   bool    // there was no connection to send it on
 	resendAt  time.Time
 	wait      time.Duration // for a confirmation, once it was sent on all connections
+	sentAt    time.Time     // when it was first sent
+	overdue   bool          // counted in conn.unconfirmed
 	presumed  bool          // taken for confirmed while the connection of the set-up stays open
 	confirmed bool
 }
@@ -136,12 +138,10 @@
 	defer d.mu.Unlock()
 	d.pending = append(d.pending, r)
 	d.byID[r.id] = r
-	if surplus := len(d.pending) - maxPendingReleases; surplus > 0 {
-		d.prune()
-		for len(d.pending) > maxPendingReleases {
-			d.forget(d.pending[0])
-			d.prune()
-		}
+	for len(d.pending) > maxPendingReleases {
+		d.forget(d.pending[0])
+		d.pending[0] = nil
+		d.pending = d.pending[1:]
 	}
 	if setupConn != nil {
 		r.address = transport.AddressOf(setupConn.RemoteAddr())
@@ -187,6 +187,9 @@
 	if c.PeerClosed() || c.Send(transport.Packet{Data: r.data}) != nil {
 		return false
 	}
+	if r.copies == 0 {
+		r.sentAt = time.Now()
+	}
 	d.copies++
 	r.copies++
 	if !slices.Contains(r.tried, c) {
@@ -310,7 +313,7 @@
 		case r.conn == nil:
 			d.sendAgain(r)
 		case r.presumed, now.Before(r.resendAt):
-		case !d.confirms && d.expired >= enoughUnconfirmed && r.isOnSetupConn():
+		case r.isOnSetupConn() && (!d.confirms && d.expired >= enoughUnconfirmed || r.readerConfirmsNone()):
 			r.presumed = true
 		default:
 			d.sendAgain(r)
@@ -319,6 +322,20 @@
 	d.prune()
 }
 
+// readerConfirmsNone reports whether the client on the connection of the call's set-up reads releases and confirms none: it has sent
+// messages after it was sent several. Copies on the connections of others would only load these.
+func (r *release) readerConfirmsNone() bool {
+	c := r.setupConn
+	if c.confirms || !c.receivedAfter(r.sentAt) {
+		return false
+	}
+	if !r.overdue {
+		r.overdue = true
+		c.unconfirmed++
+	}
+	return c.unconfirmed > enoughUnconfirmed
+}
+
 // expire gives up a release that no caller has confirmed in time.
 func (d *releaseDelivery) expire(r *release) {
 	d.forget(r)
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"beammux/control"
 	"beammux/internal/actor"
+	"beammux/internal/loglimit"
 	"beammux/internal/routing"
 	"beammux/internal/transport"
 )
@@ -29,6 +31,8 @@
 	// CountMalformed counts a set-up that the agent refused without passing it to the core. class is the index of its class in the
 	// settings, or -1 if the class is unknown.
 	CountMalformed(class int)
+	// CountRefused counts a set-up that the agent refused because of an overload without passing it to the core.
+	CountRefused(class int)
 }
 
 // Dialogs persists records of established dialogs, so that they can be restored after a restart. Its methods must not block.
@@ -48,7 +52,9 @@
 	Timers       Timers
 	DialTimeout  time.Duration
 	Budget       *transport.Budget
-	Dialogs      Dialogs // may be nil
+	Memory       transport.ClientMemory
+	Scheduler    *transport.Scheduler // shares the processor between the clients; nil: messages are processed at once
+	Dialogs      Dialogs              // may be nil
 	// OnFirstMessage, if not nil, is called once for each caller's TCP connection, with the caller's address. wellFormed reports
 	// whether the first message was complete and valid; it is false if the message could not be parsed or did not arrive in
 	// time. OnFirstMessage may be called from any goroutine.
@@ -72,8 +78,11 @@
 	tcpConns         map[string]*transport.Conn     // open TCP connections, by remote address
 	pendingCalls     map[*serverTx]*uasCall         // set-ups without a final answer
 	dialogs          map[string]*dialog             // by dialog.key
+	pendingRequests  map[string]bool                // requestKey of pendingCalls
 	dialogsByID      map[string]*dialog             // by dialog.storeKey: the core's call id and the side
 	dialogsByAttempt map[routing.AttemptRef]*dialog // those with servers that this process has opened
+	tagSeed          maphash.Seed                   // of the tags of stateless responses
+	badInput         *loglimit.Limiter              // log of bad messages
 	serverConns      map[string]*serverConn         // by transport and server address
 	draining         bool
 	refusing         bool // new set-ups are refused, because the process is about to exit
@@ -89,9 +98,9 @@
 		options.LookupHost = net.DefaultResolver.LookupHost
 	}
 	a := &Agent{Actor: actor.New(), Options: options, core: core, tcpConns: map[string]*transport.Conn{},
-		pendingCalls: map[*serverTx]*uasCall{}, dialogs: map[string]*dialog{}, dialogsByID: map[string]*dialog{},
-		dialogsByAttempt: map[routing.AttemptRef]*dialog{},
-		serverConns:      map[string]*serverConn{}}
+		pendingCalls: map[*serverTx]*uasCall{}, pendingRequests: map[string]bool{}, dialogs: map[string]*dialog{},
+		dialogsByID: map[string]*dialog{}, dialogsByAttempt: map[routing.AttemptRef]*dialog{}, tagSeed: maphash.MakeSeed(),
+		badInput: loglimit.New(options.Log), serverConns: map[string]*serverConn{}}
 	a.transactionLayer = newTransactionLayer(options.Timers, a.After)
 	return a
 }
@@ -114,7 +123,7 @@
 			}
 			return err
 		}
-		listener.IsBlocked = a.IsBlocked
+		listener.IsBlocked, listener.Memory = a.IsBlocked, a.Memory
 		a.tcp = listener
 	}
 	return nil
--- a/internal/protocol/sip/agent_dialogs.go
+++ b/internal/protocol/sip/agent_dialogs.go
@@ -146,7 +146,7 @@
 func (a *Agent) handleBye(t *serverTx, m *Message) {
 	d := a.findDialog(m)
 	if d == nil {
-		t.respond(Respond(m, 481, "Call/Transaction Does Not Exist").Set("To", ensureTag(m.Get("To"))))
+		t.respond(Respond(m, 481, "Call/Transaction Does Not Exist").Set("To", a.toWithTag(m)))
 		return
 	}
 	number, _, _ := m.CSeq()
--- a/internal/protocol/sip/dispatch.go
+++ b/internal/protocol/sip/dispatch.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/maphash"
 	"slices"
 
 	"beammux/internal/routing"
+	"beammux/internal/transport"
 )
 
 // allow is the value of the Allow header.
@@ -48,7 +51,7 @@
 	if t, ok := f.(*tcpFlow); ok {
 		t.reconnectAddr = v.sentBy
 	}
-	t, isNew := a.transactionLayer.accept(m, f)
+	t, isNew := a.serverTransaction(m, f)
 	switch {
 	case m.Method == "ACK":
 		if d := a.findDialog(m); d != nil && d.callerLeg != nil {
@@ -66,7 +69,7 @@
 		if a.draining {
 			status, reason = 503, "Service Unavailable"
 		}
-		t.respond(Respond(m, status, reason).Set("Allow", allow).Set("To", ensureTag(m.Get("To"))))
+		t.respond(Respond(m, status, reason).Set("Allow", allow).Set("To", a.toWithTag(m)))
 	case m.Method == "NOTIFY":
 		if server := a.serverConns[endpoint(f.proto(), f.remote())]; server != nil {
 			if values := parseReport(m.Get("X-Occupancy"), a.Reports); values != nil {
@@ -77,16 +80,75 @@
 		}
 		t.respond(Respond(m, 481, "Call/Transaction Does Not Exist"))
 	default:
-		t.respond(Respond(m, 405, "Method Not Allowed").Set("Allow", allow).Set("To", ensureTag(m.Get("To"))))
+		t.respond(Respond(m, 405, "Method Not Allowed").Set("Allow", allow).Set("To", a.toWithTag(m)))
 	}
 }
 
-// ensureTag returns a To value with a tag: its own, or a new one.
-func ensureTag(to string) string {
+// serverTransaction returns the transaction of a request, and whether the request must be handled. Requests whose repetition can be
+// handled like the first have no state. If there is no memory for the state of another, an INVITE is refused.
+func (a *Agent) serverTransaction(m *Message, f flow) (t *serverTx, isNew bool) {
+	if m.Method == "ACK" || a.transactionLayer.knows(m) {
+		return a.transactionLayer.accept(m, f)
+	}
+	size, memory := pendingMemory(m), requestMemory(f)
+	switch {
+	case !a.needsState(m), m.Method != "INVITE" && !memory.Reserve(size):
+		return a.transactionLayer.newStateless(m, f), true
+	case m.Method == "INVITE" && !memory.Reserve(size):
+		a.refuseOverload(m, f)
+		return nil, false
+	}
+	t, isNew = a.transactionLayer.accept(m, f)
+	t.memory, t.reserved = memory, size
+	return t, isNew
+}
+
+// needsState reports whether a new request changes the state of a call, so that its repetition must be told apart.
+func (a *Agent) needsState(m *Message) bool {
+	switch m.Method {
+	case "INVITE":
+		return true
+	case "BYE":
+		return a.findDialog(m) != nil
+	case "CANCEL":
+		key, _ := serverKey(m, "INVITE")
+		return a.transactionLayer.servers[key] != nil
+	}
+	return false
+}
+
+// requestMemory returns the account of the client that sent a message.
+func requestMemory(f flow) *transport.MemoryAccount {
+	switch f := f.(type) {
+	case udpFlow:
+		return f.memory
+	case *tcpFlow:
+		return f.conn.Requests()
+	}
+	return nil
+}
+
+// overloadRetryAfter is the time after which a client may send an INVITE again that found no memory, in seconds.
+const overloadRetryAfter = "1"
+
+// refuseOverload refuses an INVITE without a transaction.
+func (a *Agent) refuseOverload(m *Message, f flow) {
+	r := Respond(m, 503, "Service Unavailable").Set("To", a.toWithTag(m)).Set("Retry-After", overloadRetryAfter).
+		Set("Reason", reasonHeader(routing.CauseCongest))
+	f.send(r.Append(nil), nil, nil)
+	if class := slices.Index(a.Classes, cmp.Or(m.Get("X-Cos"), a.DefaultClass)); class >= 0 {
+		a.core.CountRefused(class)
+	}
+}
+
+// toWithTag returns the To value of a response with a tag: that of the request, or one that is the same for each repetition of it.
+func (a *Agent) toWithTag(m *Message) string {
+	to := m.Get("To")
 	if tag(to) != "" {
 		return to
 	}
-	return to + ";tag=" + randomToken(6)
+	key, _ := serverKey(m, m.Method)
+	return fmt.Sprintf("%s;tag=%016x", to, maphash.String(a.tagSeed, key))
 }
 
 // findDialog returns the dialog of a request, or nil. The request's To is the dialog's local side.
@@ -108,8 +170,12 @@
 	if v, err := m.topVia(); err != nil || v.sentBy != a.sentBy(v.proto) {
 		return
 	}
+	memory, size := requestMemory(f), pendingMemory(m)
+	if !memory.Reserve(size) {
+		return
+	}
 	d := dialogFromResponse(m, "", f.proto())
 	d.flow = f
 	a.sendAck(d)
-	a.sendInDialog(d, "BYE", routing.CauseNormal, nil)
+	a.sendInDialog(d, "BYE", routing.CauseNormal, func() { memory.Release(size) })
 }
--- a/internal/protocol/sip/flow.go
+++ b/internal/protocol/sip/flow.go
@@ -6,16 +6,20 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime"
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"beammux/internal/transport"
 )
 
 // udpFlow sends datagrams to one address.
 type udpFlow struct {
-	pc   net.PacketConn
-	addr net.Addr
+	pc     net.PacketConn
+	addr   net.Addr
+	memory *transport.MemoryAccount // of the client's requests; nil if there is no bound
 }
 
 func (f udpFlow) send(data []byte, stillWanted func() bool, _ func(error)) error {
@@ -72,8 +76,13 @@
 	firstMessageTimeout = 10 * time.Second // for the first message of a caller's connection to begin
 )
 
-// readUDP reads datagrams until the socket is closed.
+// readUDP reads datagrams until the socket is closed. Each source's datagrams are handled in its own turns.
 func (a *Agent) readUDP(pc net.PacketConn) {
+	sources := newDatagramSources(a.Memory.Datagrams, func(s *datagramSource, data []byte) {
+		a.Scheduler.Do(func() {
+			a.handleDatagram(udpFlow{pc, s.addr, s.memory}, data)
+		})
+	})
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := pc.ReadFrom(buf)
@@ -83,20 +92,25 @@
 		if err != nil {
 			continue // an ICMP error caused by an earlier datagram
 		}
-		f := udpFlow{pc, from}
-		m, err := Parse(buf[:n])
-		if err == ErrTooLong {
-			if m, _ = Parse(buf[:min(n, MaxMessage)]); m == nil {
-				m, _ = parseHeadOnly(buf[:n])
-			}
-		}
-		if err != nil {
-			a.Log.WithField("peer", from).WithError(err).Warn("SIP: bad datagram dropped")
-			a.Post(func() { a.reject(m, f, err) })
-			continue
+		sources.add(from, buf[:n])
+		runtime.Gosched() // a flood of datagrams must not keep the handling of others waiting
+	}
+}
+
+// handleDatagram parses a datagram and passes its message to the actor.
+func (a *Agent) handleDatagram(f udpFlow, data []byte) {
+	m, err := Parse(data)
+	if err == ErrTooLong {
+		if m, _ = Parse(data[:MaxMessage]); m == nil {
+			m, _ = parseHeadOnly(data)
 		}
-		a.Post(func() { a.handleMessage(m, f) })
 	}
+	if err != nil {
+		a.badInput.Warn("SIP: bad datagram dropped", logrus.Fields{"peer": f.addr, "error": err})
+		a.Post(func() { a.reject(m, f, err) })
+		return
+	}
+	a.Post(func() { a.handleMessage(m, f) })
 }
 
 // parseHeadOnly parses the head of a message whose body is truncated or too long.
@@ -140,6 +154,7 @@
 		c.SetReadDeadline(time.Now().Add(firstMessageTimeout))
 	}
 	r := NewConnReader(c, messageTimeout)
+	r.scheduler = a.Scheduler
 	for {
 		m, err := r.Next()
 		if err == nil {
@@ -149,17 +164,19 @@
 				first = false
 				c.SetReadDeadline(time.Time{})
 			}
-			a.Post(func() {
-				if server != nil {
-					server.lastMessage = time.Now()
-				}
-				a.handleMessage(m, &tcpFlow{agent: a, conn: c})
+			a.Scheduler.Do(func() {
+				a.Post(func() {
+					if server != nil {
+						server.lastMessage = time.Now()
+					}
+					a.handleMessage(m, &tcpFlow{agent: a, conn: c})
+				})
 			})
 			continue
 		}
 		if err == ErrMalformed || err == ErrTooLong || err == ErrIncomplete {
 			observe(false)
-			a.Log.WithField("peer", key).WithError(err).Warn("SIP: bad message, connection closed")
+			a.badInput.Warn("SIP: bad message, connection closed", logrus.Fields{"peer": key, "error": err})
 			a.reject(m, &tcpFlow{agent: a, conn: c}, err) // not posted to the actor: the connection is closed soon after
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) { // no message arrived in time
@@ -187,7 +204,7 @@
 func (a *Agent) withdrawCalls(c *transport.Conn) {
 	for tx, call := range a.pendingCalls {
 		if call.conn == c {
-			a.core.Withdraw(call.id, call, func(bool) { call.endPending(tx.end) })
+			a.core.Withdraw(call.id, call, func(bool) { call.endPending(tx.endWithdrawn) })
 		}
 	}
 }
@@ -225,7 +242,7 @@
 				done(nil, err)
 				return
 			}
-			done(udpFlow{a.udp.bound(), to}, nil)
+			done(udpFlow{pc: a.udp.bound(), addr: to}, nil)
 		})
 	default:
 		done(nil, errors.New("no socket for transport "+proto))
--- a/internal/protocol/sip/message.go
+++ b/internal/protocol/sip/message.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"beammux/internal/transport"
 )
 
 // MaxMessage is the maximum size of a message in bytes, headers and body included.
@@ -38,6 +40,8 @@
 	Reason string
 	Header textproto.MIMEHeader
 	Body   []byte
+
+	size int // bytes of a message that was parsed
 }
 
 // Request returns a request without headers.
@@ -130,6 +134,7 @@
 		return m, ErrMalformed
 	}
 	m.Body = bytes.Clone(data[end : end+length])
+	m.size = end + length
 	return m, nil
 }
 
@@ -141,9 +146,40 @@
 	return -1
 }
 
+// Bounds of a head. They bound the time and the memory that a message needs in proportion to its bytes.
+const (
+	maxHeadLines      = 128
+	maxHeadSeparators = 512 // of lists and parameters, in all headers together
+)
+
+// boundedHead returns the first maxHeadLines lines of a head, and whether these are all. It returns nil if the head has too many
+// separators.
+func boundedHead(head []byte) (bounded []byte, whole bool) {
+	lines, separators := 0, 0
+	for i, c := range head {
+		switch c {
+		case ',', ';':
+			separators++
+		case '\n':
+			lines++
+		}
+		if separators > maxHeadSeparators {
+			return nil, false
+		}
+		if lines == maxHeadLines && i+1 < len(head) {
+			return head[:i+1], false
+		}
+	}
+	return head, true
+}
+
 // parseHead parses the start line and the headers. length is the Content-Length, or -1 if it is absent. With an error, the
 // message holds what could be parsed, so that a request can be answered with 400.
 func parseHead(head []byte) (m *Message, length int, err error) {
+	head, whole := boundedHead(head)
+	if head == nil {
+		return nil, 0, ErrMalformed
+	}
 	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
 	line, err := r.ReadLine()
 	if err != nil {
@@ -173,7 +209,7 @@
 			m.Header.Add(key, v)
 		}
 	}
-	if err != nil {
+	if err != nil || !whole {
 		return m, 0, ErrMalformed
 	}
 	if _, _, ok := m.CSeq(); !ok || m.Get("Call-ID") == "" {
@@ -200,8 +236,9 @@
 	in          *bufio.Reader
 	conn        readDeadliner // nil if reads have no deadline
 	timeout     time.Duration
-	deadlineSet bool // the current message has a read deadline
-	graceUsed   bool // the current message's deadline has been extended by readGrace
+	scheduler   *transport.Scheduler // of the parsing; nil: at once
+	deadlineSet bool                 // the current message has a read deadline
+	graceUsed   bool                 // the current message's deadline has been extended by readGrace
 }
 
 // readDeadliner is the part of net.Conn that sets read deadlines.
@@ -279,7 +316,10 @@
 		size = len(b) + 1
 	}
 	head, _ := r.in.Peek(end)
-	m, length, err := parseHead(head)
+	var m *Message
+	var length int
+	var err error
+	r.scheduler.Do(func() { m, length, err = parseHead(head) })
 	if err != nil {
 		return m, err
 	}
@@ -293,10 +333,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if buffered, _ := r.in.Peek(r.in.Buffered()); messageStartsWithin(buffered[end:], length) {
+	buffered, _ := r.in.Peek(r.in.Buffered())
+	truncated := false
+	r.scheduler.Do(func() { truncated = messageStartsWithin(buffered[end:], length) })
+	if truncated {
 		return m, ErrMalformed
 	}
 	m.Body = bytes.Clone(data[end:])
+	m.size = end + length
 	r.in.Discard(end + length)
 	return m, nil
 }
--- a/internal/protocol/sip/platform.go
+++ b/internal/protocol/sip/platform.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -136,6 +137,7 @@
 	setup, ok := c.inFlight[id]
 	if ok {
 		setup.cancelled = true
+		setup.Body = nil // it is sent no more
 		c.inFlight[id] = setup
 	}
 	silent := ok && c.lastMessage.Before(setup.sentAt) && time.Since(setup.sentAt) >= minSilence
@@ -204,6 +206,8 @@
 		} else {
 			c.handleResponse(m)
 		}
+		c.events.Sync() // the server must not send faster than its messages are handled
+		runtime.Gosched()
 	}
 }
 
--- a/internal/protocol/sip/platform_test.go
+++ b/internal/protocol/sip/platform_test.go
@@ -52,6 +52,7 @@
 func (t *eventRecorder) ReleaseLost(r routing.AttemptRef, cause int) {
 	t.events <- lostReleaseEvent{r.ID(), cause}
 }
+func (t *eventRecorder) Sync()          {}
 func (t *eventRecorder) Silent()        { t.events <- silentEvent{} }
 func (t *eventRecorder) Down(err error) { t.events <- errors.Is(err, io.EOF) }
 
--- a/internal/protocol/sip/transaction.go
+++ b/internal/protocol/sip/transaction.go
@@ -4,6 +4,9 @@
 	"errors"
 	"strings"
 	"time"
+
+	"beammux/internal/routing"
+	"beammux/internal/transport"
 )
 
 // Timers are the base values of the transaction timers (RFC 3261, 17): T1 is the round-trip time estimate, T2 the maximum
@@ -162,6 +165,18 @@
 	t.schedule(interval, func() { t.retransmit(interval) })
 }
 
+// stopRetransmits ends the transmission of the request. A late response is still handled.
+func (t *clientTx) stopRetransmits() {
+	t.retransmitStopped = true
+	t.dropRequest()
+}
+
+// dropRequest releases the encoded request and its body, which are not sent any more. The headers stay for an ACK or a CANCEL.
+func (t *clientTx) dropRequest() {
+	t.data = nil
+	t.req.Body = nil
+}
+
 // fail ends a transaction without a final response.
 func (t *clientTx) fail(err error) {
 	if t.state >= completed {
@@ -184,6 +199,7 @@
 func (t *clientTx) linger(s txState, d time.Duration) {
 	t.timers.stop()
 	t.state = s
+	t.dropRequest()
 	if d == 0 {
 		t.end()
 		return
@@ -278,9 +294,41 @@
 	state        txState
 	timers       timers
 	lastResponse []byte
+	invite       bool
+	stateless    bool // it is not in the layer, and ends with its final response (RFC 3261, 8.2.7)
+	memory       *transport.MemoryAccount
+	reserved     int // bytes of memory
+}
+
+// Memory of a server transaction.
+const (
+	pendingTxMemory = 4 << 10 // bytes of one that waits for its final response, without the copies of its message
+	messageCopies   = 3       // the request, its description at a server, and the answer
+	endedTxMemory   = 1 << 10 // bytes of one that has its final response, without that response
+	ackedTxMemory   = 512     // bytes of one whose final response was confirmed
+)
+
+// pendingMemory returns the bytes that a transaction of a request occupies until its final response.
+func pendingMemory(m *Message) int { return pendingTxMemory + messageCopies*m.size }
+
+// newStateless returns a transaction of a request whose repetition may be answered anew: it occupies no memory once it has its response.
+func (layer *transactionLayer) newStateless(m *Message, f flow) *serverTx {
+	return &serverTx{layer: layer, req: m, flow: f, state: trying, stateless: true}
 }
 
-func (t *serverTx) invite() bool { return t.req.Method == "INVITE" }
+// knows reports whether a request belongs to a server transaction.
+func (layer *transactionLayer) knows(m *Message) bool {
+	key, ok := serverKey(m, m.Method)
+	return ok && layer.servers[key] != nil
+}
+
+// shrink releases the reserved memory beyond n bytes.
+func (t *serverTx) shrink(n int) {
+	if t.reserved > n {
+		t.memory.Release(t.reserved - n)
+		t.reserved = n
+	}
+}
 
 // serverKey returns the key of the server transaction of a request (RFC 3261, 17.2.3), and whether the branch is valid. The ACK
 // for an error belongs to the INVITE's transaction; a CANCEL has a transaction of its own.
@@ -311,8 +359,8 @@
 	if m.Method == "ACK" {
 		return nil, false
 	}
-	t = &serverTx{layer: layer, key: key, req: m, flow: f, state: trying}
-	if t.invite() {
+	t = &serverTx{layer: layer, key: key, req: m, flow: f, state: trying, invite: m.Method == "INVITE"}
+	if t.invite {
 		t.state = proceeding
 	}
 	layer.servers[key] = t
@@ -325,6 +373,8 @@
 		if t.state == completed {
 			t.timers.stop()
 			t.state = confirmed
+			t.lastResponse = nil
+			t.shrink(ackedTxMemory)
 			d := t.layer.t.T4 // timer I
 			if t.flow.reliable() {
 				d = 0
@@ -353,6 +403,23 @@
 	t.state = terminated
 	t.timers.stop()
 	delete(t.layer.servers, t.key)
+	t.shrink(0)
+}
+
+// acknowledged ends the transaction of an INVITE with a 2xx whose ACK has arrived, once late copies of the INVITE can't arrive any more.
+func (t *serverTx) acknowledged() {
+	if t.state == accepted {
+		t.timers.stop()
+		t.shrink(ackedTxMemory)
+		t.schedule(t.layer.t.T4, t.end)
+	}
+}
+
+// endWithdrawn ends the transaction of a set-up that its caller has given up. A server may still answer, so some memory stays reserved.
+func (t *serverTx) endWithdrawn() {
+	t.memory.ReleaseAfter(min(t.reserved, endedTxMemory), routing.LateAnswerTime)
+	t.reserved = max(0, t.reserved-endedTxMemory)
+	t.end()
 }
 
 // respond sends a response, and reports whether it did. A response after the final one is dropped, because a request has only
@@ -362,12 +429,20 @@
 		return false
 	}
 	data := m.Append(nil)
-	t.lastResponse = data
 	t.flow.send(data, nil, nil)
+	if t.stateless {
+		t.state = completed
+		return true
+	}
+	t.lastResponse = data
+	if m.Status >= 200 {
+		t.req = nil
+		t.shrink(endedTxMemory + len(data))
+	}
 	switch {
 	case m.Status < 200:
 		t.state = proceeding
-	case !t.invite():
+	case !t.invite:
 		t.state = completed
 		d := 64 * t.layer.t.T1 // timer J
 		if t.flow.reliable() {
@@ -376,6 +451,7 @@
 		t.schedule(d, t.end)
 	case m.Status < 300:
 		t.state = accepted
+		t.lastResponse = nil               // the dialog retransmits it
 		t.schedule(64*t.layer.t.T1, t.end) // timer L
 	default:
 		t.state = completed
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -131,6 +131,7 @@
 		m.Body = setupAttempt.Body
 	}
 	u := &uac{conn: c, attempt: setupAttempt, sentAt: time.Now()}
+	u.attempt.Body = nil // the message has it
 	c.inFlight[setupAttempt.ID()] = u
 	u.tx = a.transactionLayer.request(m, c.flow, stillWanted, u.handleResponse, u.transactionFailed)
 }
@@ -240,7 +241,7 @@
 		if u.tx.state == proceeding {
 			u.cancel()
 		}
-		u.tx.retransmitStopped = true
+		u.tx.stopRetransmits()
 	})
 }
 
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -53,11 +53,9 @@
 		}
 		t.respond(r)
 	}
-	for otherTx, pending := range a.pendingCalls { // RFC 3261, 8.2.2.2: the same request arrived over two paths
-		if otherTx != t && sameRequest(pending.req, m) {
-			refuse(482, "Loop Detected")
-			return
-		}
+	if a.pendingRequests[requestKey(m)] { // RFC 3261, 8.2.2.2: the same request arrived over two paths
+		refuse(482, "Loop Detected")
+		return
 	}
 	target, err := parseURI(m.URI)
 	setup := routing.Setup{ID: call.id, Tenant: -1, Key: target.user, FirstChoice: -1, Body: m.Body, Excess: a.refusing}
@@ -82,6 +80,7 @@
 	}
 	t.respond(Respond(m, 100, "Trying"))
 	a.pendingCalls[t] = call
+	a.pendingRequests[requestKey(m)] = true
 	call.holdConn()
 	a.core.Open(setup, call)
 }
@@ -92,15 +91,16 @@
 // removePending removes a set-up from the pending calls once it has its final answer, and no longer holds its connection.
 func (call *uasCall) removePending() {
 	delete(call.agent.pendingCalls, call.tx)
+	delete(call.agent.pendingRequests, requestKey(call.req))
 	if call.connHeld {
 		call.conn.Unhold()
 		call.connHeld = false
 	}
 }
 
-// sameRequest reports whether two requests have the same From tag, Call-ID and CSeq.
-func sameRequest(a, b *Message) bool {
-	return a.Get("Call-ID") == b.Get("Call-ID") && a.Get("CSeq") == b.Get("CSeq") && tag(a.Get("From")) == tag(b.Get("From"))
+// requestKey returns a text that is equal for requests with the same From tag, Call-ID and CSeq.
+func requestKey(m *Message) string {
+	return m.Get("Call-ID") + "|" + m.Get("CSeq") + "|" + tag(m.Get("From"))
 }
 
 // readHeaders sets class, deadline and first choice of a set-up from the headers, and reports whether one is invalid. The
@@ -143,7 +143,7 @@
 	key, _ := serverKey(m, "INVITE")
 	invite := a.transactionLayer.servers[key]
 	if invite == nil {
-		t.respond(Respond(m, 481, "Call/Transaction Does Not Exist").Set("To", ensureTag(m.Get("To"))))
+		t.respond(Respond(m, 481, "Call/Transaction Does Not Exist").Set("To", a.toWithTag(m)))
 		return
 	}
 	call := a.pendingCalls[invite]
@@ -175,8 +175,11 @@
 // respondError answers the INVITE with an error. setHeaders, if not nil, adds headers to it.
 func (call *uasCall) respondError(status int, reason string, setHeaders func(*Message)) {
 	call.agent.Post(func() {
-		call.removePending()
+		if call.agent.pendingCalls[call.tx] != call {
+			return // it has its final answer
+		}
 		r := call.response(status, reason)
+		call.removePending()
 		if setHeaders != nil {
 			setHeaders(r)
 		}
@@ -216,11 +219,12 @@
 	}
 	a.addDialog(call.dialog)
 	call.okData = r.Append(nil)
+	call.req = nil
 	call.retransmitAnswer(a.Timers.T1)
 	a.After(64*a.Timers.T1, func() {
 		if !call.acked && !call.released {
 			a.Log.WithField("call", call.id).Warn("SIP: no ACK for the answer, call released")
-			call.acked = true
+			call.endRetransmits()
 			a.core.Hangup(call.id, routing.CauseNormal, call, nil)
 			call.sendBye(routing.CauseNormal)
 		}
@@ -237,13 +241,20 @@
 	})
 }
 
+// endRetransmits ends the retransmission of the 2xx.
+func (call *uasCall) endRetransmits() {
+	call.acked = true
+	call.retransmitTimer.Stop()
+	call.okData = nil
+	call.tx.acknowledged()
+}
+
 // handleAck handles the ACK for the 2xx and sends a BYE that waited for it.
 func (call *uasCall) handleAck(m *Message) {
 	if call.acked {
 		return
 	}
-	call.acked = true
-	call.retransmitTimer.Stop()
+	call.endRetransmits()
 	if call.pendingByeCause > 0 {
 		call.sendBye(call.pendingByeCause)
 	}
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -105,6 +105,7 @@
 	a.expiry.Stop()
 	call.deadlineTimer.Stop()
 	call.established, call.establishedAt = true, c.clock.now()
+	call.Body = nil // it is sent to no server any more
 	c.unanswered--
 	c.stats.Class(call.Class).Success.Add(1)
 	c.observe(counting.Established, &call.Setup, 0)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -249,6 +249,7 @@
 		call.quota.Done()
 	}
 	delete(c.calls, call.ID)
+	call.Body = nil // timers may still refer to the call
 	c.stats.Open.Store(int64(len(c.calls)))
 	if call.attempts > 0 { // a call that was never sent needs no release guard, and must not use memory during a flood
 		c.ended.add(call.ID, c.clock.now())
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -58,3 +58,6 @@
 // CountMalformed counts a set-up that a front could not parse and answered with a failure. class is its index in the settings,
 // or -1. Such a set-up never reaches the core, but its caller has received a final answer.
 func (c *Core) CountMalformed(class int) { c.stats.Class(class).Error.Add(1) }
+
+// CountRefused counts a set-up that a front refused because of an overload, without passing it to the core.
+func (c *Core) CountRefused(class int) { c.stats.Class(class).Overload.Add(1) }
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -20,8 +20,8 @@
 	lingerTime = 10 * time.Second
 	// warnInterval is the least time between two log entries about failed connects to a server.
 	warnInterval = 10 * time.Second
-	// lateAnswerTime is how long an attempt that was given up is still tracked, because its answer may arrive late.
-	lateAnswerTime = 10 * time.Second
+	// LateAnswerTime is how long an attempt that was given up is still tracked, because its answer may arrive late.
+	LateAnswerTime = 10 * time.Second
 	// lateReleaseDelay is the time after the end of a connection by which the server has seen it too.
 	lateReleaseDelay = 200 * time.Millisecond
 	// unreachableAfter is how long a server that announces nothing may be without a connection before its calls are released.
--- a/internal/routing/peer_attempts.go
+++ b/internal/routing/peer_attempts.go
@@ -85,8 +85,9 @@
 		for _, c := range p.conns {
 			if entry, ok := c.inFlight[r.id]; ok && entry.AttemptRef == r {
 				entry.cancelled = true
+				entry.Body = nil // it is sent no more
 				c.inFlight[r.id] = entry
-				p.After(lateAnswerTime, func() { c.forget(r) })
+				p.After(LateAnswerTime, func() { c.forget(r) })
 				c.conn.Cancel(r.id)
 				return
 			}
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -140,6 +140,12 @@
 	p.Post(func() { p.core.Post(func() { p.core.releaseAgain(p, r, cause) }) })
 }
 
+// Sync implements ServerEvents.
+func (c *peerConn) Sync() {
+	c.peer.Sync()
+	c.peer.core.Sync()
+}
+
 // Silent implements ServerEvents.
 func (c *peerConn) Silent() {
 	c.ifOpen(func(p *Peer) {
--- a/internal/routing/server_conn.go
+++ b/internal/routing/server_conn.go
@@ -67,6 +67,7 @@
 	ReleaseLost(r AttemptRef, cause int)             // the server has not confirmed the release of an attempt, and may not have read it
 	Silent()                                         // the server's messages stay away; the connection is still open
 	Down(err error)                                  // the connection is closed
+	Sync()                                           // blocks until the events that were reported before are handled
 }
 
 // ErrSilent is the error of an open connection on which the server's messages stay away.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -69,8 +69,13 @@
 	byteReceived    atomic.Bool  // a byte has been received
 	peerClosed      atomic.Bool  // a read has found that the other side closed or reset the connection
 	unprocessed     atomic.Bool  // the last Read returned bytes, and its owner has not called Read again
+	requests        *MemoryAccount
+	output          *MemoryAccount // for the packets of queue
 }
 
+// Requests returns the account of the memory that the client's requests occupy; nil if it is not bounded.
+func (c *Conn) Requests() *MemoryAccount { return c.requests }
+
 // Read reads from the connection, and records whether any byte was received and whether the other side has closed. It must
 // not be called concurrently.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -232,14 +237,21 @@
 
 // NewConn wraps a connection and starts its writer. onClose, if not nil, is called once after the connection is closed.
 func NewConn(nc net.Conn, onClose func()) *Conn {
+	c := newConn(nc, onClose)
+	go c.writeLoop()
+	return c
+}
+
+// newConn is NewConn without the writer.
+func newConn(nc net.Conn, onClose func()) *Conn {
 	c := &Conn{Conn: nc, socket: socketOf(nc), wake: make(chan struct{}, 1), closed: make(chan struct{}), onClose: onClose}
 	c.readState.once = c.readOnce
 	c.lastUsed.Store(time.Now().UnixNano())
-	go c.writeLoop()
 	return c
 }
 
-// Send queues a packet for writing. It never blocks. It closes the connection and returns ErrOverflow if the queue is full.
+// Send queues a packet for writing. It never blocks. It closes the connection and returns ErrOverflow if the queue is full, or the
+// memory for the output of all clients is used up.
 func (c *Conn) Send(p Packet) error {
 	c.mu.Lock()
 	err := c.err
@@ -247,7 +259,7 @@
 	case err != nil:
 	case c.closing:
 		err = ErrClosed
-	case c.bytes+len(p.Data) > MaxQueued:
+	case c.bytes+len(p.Data) > MaxQueued, !c.output.Reserve(len(p.Data)):
 		err = ErrOverflow
 	default:
 		c.queue = append(c.queue, p)
@@ -283,6 +295,8 @@
 			if c.err != nil {
 				remaining, err := c.queue, c.err
 				c.queue = nil
+				c.output.Release(c.bytes)
+				c.bytes = 0
 				c.mu.Unlock()
 				for i := range remaining {
 					remaining[i].done(err)
@@ -300,8 +314,10 @@
 				break
 			}
 			p := c.queue[0]
+			c.queue[0] = Packet{} // the array may outlive the packet
 			c.queue = c.queue[1:]
 			c.bytes -= len(p.Data)
+			c.output.Release(len(p.Data))
 			c.mu.Unlock()
 			if p.StillWanted != nil && !p.StillWanted() {
 				p.done(ErrDropped)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"os"
+	"runtime"
 	"slices"
 	"sync"
 	"syscall"
@@ -108,6 +109,8 @@
 
 	// IsBlocked, if not nil, reports whether connections from an address are closed at once. It must be set before Serve.
 	IsBlocked func(address string) bool
+	// Memory bounds what the clients' messages occupy. It must be set before Serve.
+	Memory ClientMemory
 }
 
 // Listen binds a TCP address. The address may be shared with another process that binds it the same way
@@ -182,7 +185,9 @@
 			nc.Close()
 			continue
 		}
-		c := NewConn(nc, l.budget.releaseCaller)
+		c := newConn(nc, l.budget.releaseCaller)
+		c.requests, c.output = l.Memory.Requests.NewAccount(), l.Memory.Output.NewAccount()
+		go c.writeLoop()
 		l.mu.Lock()
 		l.conns[c] = struct{}{}
 		l.mu.Unlock()
@@ -195,6 +200,7 @@
 			delete(l.conns, c)
 			l.mu.Unlock()
 		}()
+		runtime.Gosched() // clients that connect at full speed must not keep the connected ones waiting
 	}
 }
 
