Don't send set-ups on that are unread when their client closes its connection

Cause: a client counted as gone only once its reader had read the close, behind all other input. Change: PeerClosed asks the kernel (POLLRDHUP), before an attempt begins and before its first byte.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -90,9 +90,27 @@
 	return n, err
 }
 
-// PeerClosed reports whether the other side has closed or reset the connection, as far as its owner has read. A half-close counts
-// as a close: a reader can't distinguish the two in TCP.
-func (c *Conn) PeerClosed() bool { return c.peerClosed.Load() }
+// PeerClosed reports whether the other side has closed or reset the connection, even if its owner has not read all input before the
+// close. A half-close counts as a close: the two can't be distinguished in TCP.
+func (c *Conn) PeerClosed() bool {
+	if !c.peerClosed.Load() && c.kernelSawClose() {
+		c.peerClosed.Store(true)
+	}
+	return c.peerClosed.Load()
+}
+
+// kernelSawClose reports whether the kernel has received a close or a reset from the other side.
+func (c *Conn) kernelSawClose() (closed bool) {
+	if c.socket == nil {
+		return false
+	}
+	c.socket.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		closed = err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed
+}
 
 // receive reads once, and sets unprocessed if it returns bytes. On a socket, unprocessed is set before the kernel hands the bytes over,
 // so that at any time either the kernel's count or unprocessed accounts for them; unread relies on that.
