Wait for a slow event bus, with one more request beside the first

Cause: the silence that an open stream may have, 2.5 s, also bounded the wait for an answer's first byte, so each request was given up. Change: that wait has a bound of its own, 7 s, when a change counts as told. After 2.5 s one more request is made beside the first; the answer that begins first is read. proxy_bus_first_byte_seconds has the time of the last.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -46,6 +47,11 @@
 	return &exporter{set: set}
 }
 
+// addBus registers the metric of discovery: the time that its last answer took to begin.
+func (e *exporter) addBus(firstByte func() time.Duration) {
+	e.set.NewGauge("proxy_bus_first_byte_seconds", func() float64 { return firstByte().Seconds() })
+}
+
 // addFleet registers the metrics of the fleet's membership view. They exist only where the fleet is enabled.
 func (e *exporter) addFleet(v *fleet.Fleet) {
 	for _, h := range fleetview.AllHealths {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -235,7 +235,9 @@
 
 // newBusReader returns the reader of the event bus, which updates the list of servers.
 func (n *Node) newBusReader(dialTimeout time.Duration) *bus.Reader {
-	return &bus.Reader{Addr: n.cfg.Bus, LastOffset: n.cfg.LastOffset, Log: n.log,
+	var firstByte atomic.Int64 // nanoseconds
+	n.exporter.addBus(func() time.Duration { return time.Duration(firstByte.Load()) })
+	return &bus.Reader{FirstByte: func(d time.Duration) { firstByte.Store(int64(d)) }, Addr: n.cfg.Bus, LastOffset: n.cfg.LastOffset, Log: n.log,
 		Apply: func(u routing.Update) {
 			u.Source = fromBus
 			n.list.Apply(u, nil)
--- a/internal/protocol/bus/reader.go
+++ b/internal/protocol/bus/reader.go
@@ -23,7 +23,7 @@
 
 const (
 	path = "/bus/read"
-	// silenceTimeout is the time without a byte after which a connection is considered dead. The bus sends a comment every
+	// silenceTimeout is the time without a byte after which a stream that has begun is considered dead. The bus sends a comment every
 	// second. A gatekeeper must know the events that a silent bus withholds 4 s after it went silent, so the next connection
 	// has to be established well before that.
 	silenceTimeout = 2500 * time.Millisecond
@@ -42,7 +42,9 @@
 	Apply      func(routing.Update)
 	Log        logrus.FieldLogger
 	LastOffset int64 // offset of the last event that was accepted
-	parser     fastjson.Parser
+	// FirstByte, if not nil, is called with the time that each answer took to begin.
+	FirstByte func(time.Duration)
+	parser    fastjson.Parser
 
 	mu     sync.Mutex         // guards Addr and cancel
 	cancel context.CancelFunc // ends the current connection or wait
@@ -109,21 +111,13 @@
 
 // connect opens a connection that resumes after the last event and reads it until it ends.
 func (r *Reader) connect(ctx context.Context, addr string) error {
-	conn, err := r.Dial(ctx, addr)
+	answer, err := r.firstAnswer(ctx, addr)
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(silenceTimeout))
-	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n",
-		path, addr, r.LastOffset)
-	if err != nil {
-		return err
-	}
-	timed := &timedReader{conn: conn}
-	timed.beginLine()
-	in := bufio.NewReaderSize(timed, maxLine)
+	defer answer.conn.Close()
+	defer context.AfterFunc(ctx, func() { answer.conn.Close() })()
+	in := answer.in
 	text := textproto.NewReader(in)
 	status, err := text.ReadLine()
 	if err != nil {
@@ -139,13 +133,13 @@
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
 		in = bufio.NewReaderSize(httputil.NewChunkedReader(in), maxLine)
 	}
-	return r.readStream(in, timed.beginLine)
+	return r.readStream(in, answer.timed.beginLine)
 }
 
-// timedReader reads a connection with silenceTimeout for the next bytes and lineTimeout for a line.
+// timedReader reads a connection with silenceTimeout for the next bytes and lineTimeout for a line, once the first has begun.
 type timedReader struct {
 	conn    net.Conn
-	lineEnd time.Time
+	lineEnd time.Time // zero until the first line begins
 }
 
 // beginLine begins the time of the next line.
@@ -166,7 +160,7 @@
 // Read implements io.Reader.
 func (t *timedReader) Read(p []byte) (int, error) {
 	n, err := t.conn.Read(p)
-	if n > 0 {
+	if n > 0 && !t.lineEnd.IsZero() {
 		t.extend()
 	}
 	return n, err
