Write JSON strings with the escapes of JSON, not with those of Go

What callers saw: an answer whose description has DEL, or a character that Go does not print beyond U+FFFF, could not be read (\x7f, \U000e0067).

Cause: fastjson's encoder quotes such strings as Go does. Change: the front writes its messages itself; only what JSON requires is escaped, all other bytes stay as the server sent them.

--- a/internal/protocol/jsonl/message.go
+++ b/internal/protocol/jsonl/message.go
@@ -5,6 +5,9 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -143,19 +146,50 @@
 
 // Append appends the message as a line to b.
 func (m *Message) Append(b []byte) []byte {
-	var arena fastjson.Arena
-	o, attrs := arena.NewObject(), arena.NewObject()
-	o.Set("msg", arena.NewString(m.Type))
-	o.Set("sid", arena.NewString(m.ID))
-	for key, value := range m.Attrs {
-		attrs.Set(key, arena.NewString(value))
+	b = append(b, `{"msg":`...)
+	b = appendString(b, m.Type)
+	b = append(b, `,"sid":`...)
+	b = appendString(b, m.ID)
+	b = append(b, `,"attrs":{`...)
+	for i, key := range slices.Sorted(maps.Keys(m.Attrs)) {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = appendString(b, key)
+		b = append(b, ':')
+		b = appendString(b, m.Attrs[key])
 	}
-	o.Set("attrs", attrs)
+	b = append(b, '}')
 	if m.Type == "close" || m.Type == "probed" {
-		o.Set("code", arena.NewNumberString(strconv.Itoa(m.Code)))
+		b = append(b, `,"code":`...)
+		b = strconv.AppendInt(b, int64(m.Code), 10)
 	}
 	if m.Text != "" {
-		o.Set("text", arena.NewString(m.Text))
+		b = append(b, `,"text":`...)
+		b = appendString(b, m.Text)
+	}
+	return append(b, "}\n"...)
+}
+
+// appendString appends a JSON string. Only what JSON requires is escaped; all other bytes stay as they are, since a description is passed on
+// unchanged. An encoder of Go strings doesn't do: it writes escapes that JSON lacks.
+func appendString(b []byte, s string) []byte {
+	b = append(b, '"')
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c == '"', c == '\\':
+			b = append(b, '\\', c)
+		case c == '\n':
+			b = append(b, `\n`...)
+		case c == '\r':
+			b = append(b, `\r`...)
+		case c == '\t':
+			b = append(b, `\t`...)
+		case c < ' ':
+			b = fmt.Appendf(b, `\u%04x`, c)
+		default:
+			b = append(b, c)
+		}
 	}
-	return append(o.MarshalTo(b), '\n')
+	return append(b, '"')
 }
