Take a store's folder over when the new process is ready, not when it has copied it

Cause: the copy became the current generation as soon as it was made, though the old process still owned the folder. Change: the link moves in store.Node.TakeOver, just before the gatekeeper says yes. Until then a start opens the old process's files. A process that starts beside two others no longer writes over the second one's copy.

--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -39,6 +39,10 @@
 		n.cleanUp()
 		return nil, err
 	}
+	if err := n.store.TakeOver(); err != nil {
+		n.cleanUp()
+		return nil, err
+	}
 	n.serve(ctx)
 	return n, nil
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -16,7 +16,7 @@
 
 // openStore opens this gatekeeper's member of the store, and waits for it if it has a log or other members.
 func (n *Node) openStore(startCtx context.Context) error {
-	o := store.Options{Node: n.deploy.StoreNode, Dir: n.deploy.StoreDir, Sync: n.deploy.StoreSync,
+	o := store.Options{Node: n.deploy.StoreNode, Dir: n.deploy.StoreDir, DeferTakeOver: true, Sync: n.deploy.StoreSync,
 		Join: n.deploy.StoreJoin, Via: n.deploy.StoreVia, Log: n.log, Reducers: map[string]store.Reducer{limits.LeaseKey: quota.Reduce}}
 	if o.Node == "" {
 		o.Node = n.cfg.Name
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -12,8 +12,8 @@
 )
 
 // The files of one member are written by one process at a time, which has locked them. While a gatekeeper is handed over to a second
-// process, that one starts beside the first: it continues on a copy of the files, and later starts use that copy. What the first writes
-// after that is not in it.
+// process, that one starts beside the first and continues on a copy of the files. Later starts use the copy once the second process has
+// taken over; until then, or if it ends before, they use the files of the first. What the first writes after the copy was made is not in it.
 //
 // A member's folder holds a folder for each generation of the files, and symbolic links: current to the generation in use, and log and
 // snapshots to its parts.
@@ -28,10 +28,14 @@
 
 // folder is a generation of a member's files that this process has locked.
 type folder struct {
+	root string
 	dir  string
 	lock *os.File
 }
 
+// takeOver makes the generation the one that later starts use.
+func (f *folder) takeOver() error { return replaceLink(f.root, currentName, filepath.Base(f.dir)) }
+
 // openFolder locks the current generation of a member's files, or a new copy of it if another process uses it.
 func openFolder(root string) (*folder, error) {
 	current, err := currentGeneration(root)
@@ -125,28 +129,40 @@
 		lock.Close()
 		return nil, &fs.PathError{Op: "lock", Path: dir, Err: err}
 	}
-	return &folder{dir, lock}, nil
+	return &folder{root, dir, lock}, nil
 }
 
-// openCopy copies a generation that another process uses, locks the copy and makes it the current one.
+// openCopy copies a generation that another process uses, and locks the copy. It does not take over.
 func openCopy(root, used string) (*folder, error) {
-	number, err := generationNumber(used)
+	next, err := nextGeneration(root, used)
 	if err != nil {
 		return nil, err
 	}
-	next := generationPrefix + strconv.Itoa(number+1)
 	if err := copyFiles(filepath.Join(root, used), filepath.Join(root, next)); err != nil {
 		return nil, err
 	}
-	f, err := lockGeneration(root, next)
+	return lockGeneration(root, next)
+}
+
+// nextGeneration returns the name of the first generation after one that no process uses.
+func nextGeneration(root, used string) (string, error) {
+	number, err := generationNumber(used)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	if err := replaceLink(root, currentName, next); err != nil {
-		f.release()
-		return nil, err
+	for {
+		number++
+		next := generationPrefix + strconv.Itoa(number)
+		unused, err := lockGeneration(root, next)
+		switch {
+		case errors.Is(err, fs.ErrNotExist):
+			return next, nil
+		case err == nil:
+			return next, unused.release()
+		case !errors.Is(err, syscall.EWOULDBLOCK):
+			return "", err
+		}
 	}
-	return f, nil
 }
 
 // copyFiles copies a generation. The log is copied before the snapshots, which lets it overlap with them. A copy in which entries are
--- a/internal/store/folder_test.go
+++ b/internal/store/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
@@ -47,6 +48,97 @@
 	require.Equal(t, []string{filepath.Join(dir, generationPrefix+fmt.Sprint(handOvers+1))}, generations, "files that nothing uses")
 }
 
+// openBeside opens a member's files as a process does that is to take them over from another.
+func openBeside(t *testing.T, dir string) *Node {
+	t.Helper()
+	n, err := Open(Options{Node: "a", Dir: dir, Log: discardLogger(), DeferTakeOver: true})
+	require.NoError(t, err)
+	return n
+}
+
+// Guards against records lost with a hand-over that is given up: the second process ends before it has taken over, and what the first
+// writes from then on is there at the next start. Processes start beside each other, write, take over and end in any order.
+func TestRecordsOutliveHandOversThatAreGivenUp(t *testing.T) {
+	const seeds = 8
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		dir := t.TempDir()
+		owner := openBeside(t, dir)
+		require.NoError(t, owner.TakeOver())
+		var second *Node
+		written := map[string]string{} // by the owner, or by the second process while it is the owner
+		write := func(n *Node, key string) {
+			putRecord(t, n, key, []byte("v"))
+			if n == owner {
+				written[key] = "v"
+			}
+		}
+		for step := range 2 + random.IntN(5) {
+			key := fmt.Sprint("record-", step)
+			actions := []string{"write", "start", "restart"}
+			if second != nil {
+				actions = []string{"write", "write second", "give up", "take over"}
+			}
+			action := actions[random.IntN(len(actions))]
+			t.Logf("seed %d: %s", seed, action)
+			switch action {
+			case "write":
+				write(owner, key)
+			case "write second":
+				write(second, key)
+			case "start":
+				second = openBeside(t, dir)
+			case "give up":
+				require.NoError(t, second.Close())
+				second = nil
+			case "take over":
+				for key := range written {
+					if _, copied := second.Get(key); !copied { // written after the copy was made
+						delete(written, key)
+					}
+				}
+				require.NoError(t, second.TakeOver())
+				require.NoError(t, owner.Close())
+				owner, second = second, nil
+			case "restart":
+				require.NoError(t, owner.Close())
+				owner = openBeside(t, dir)
+				require.NoError(t, owner.TakeOver())
+			}
+		}
+		if second != nil {
+			require.NoError(t, second.Close())
+		}
+		require.NoError(t, owner.Close())
+		again := openBeside(t, dir)
+		for key, value := range written {
+			waitForRecord(t, again, key, []byte(value))
+		}
+		require.NoError(t, again.Close())
+	}
+}
+
+// Guards against a process that writes over the copy of another one: two start beside a third, and neither has taken over.
+func TestTwoProcessesBesideAThirdHaveTheirOwnCopies(t *testing.T) {
+	dir := t.TempDir()
+	first := openBeside(t, dir)
+	require.NoError(t, first.TakeOver())
+	putRecord(t, first, "k", []byte("v"))
+	second, third := openBeside(t, dir), openBeside(t, dir)
+	require.NotEqual(t, second.folder.dir, third.folder.dir)
+	putRecord(t, second, "second", []byte("v"))
+	putRecord(t, third, "third", []byte("v"))
+	require.NoError(t, third.TakeOver())
+	for _, n := range []*Node{first, second, third} {
+		require.NoError(t, n.Close())
+	}
+	again := openBeside(t, dir)
+	defer again.Close()
+	waitForRecord(t, again, "third", []byte("v"))
+	_, found := again.Get("second")
+	require.False(t, found)
+}
+
 // Guards against a copy that is not whole, because the first process writes and begins new files of its log meanwhile.
 func TestFolderIsCopiedWhileItIsWritten(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -43,6 +43,8 @@
 	Join     bool         // this node joins a running group: it waits to be added and does not bootstrap a group
 	Dir      string       // folder of the log and snapshots; "": in memory, lost if a majority of the members is lost
 	Sync     string       // with Dir: SyncAlways (the default) or SyncInterval
+	// DeferTakeOver leaves the files of a process that runs already, if there is one, to later starts until TakeOver is called.
+	DeferTakeOver bool
 	// Via maps the address of a member to the address at which this node reaches it, such as a forwarded port or a relay.
 	// Other members are reached at their own address.
 	Via map[string]string
@@ -205,6 +207,11 @@
 		return nil, err
 	}
 	n.folder = held
+	if !o.DeferTakeOver {
+		if err := held.takeOver(); err != nil {
+			return nil, err
+		}
+	}
 	j, err := journal.Open(journal.Options{Dir: logDir(held.dir), SyncEvery: syncEvery})
 	if err != nil {
 		return nil, err
@@ -335,6 +342,15 @@
 	return errors.Join(err, n.closeFiles())
 }
 
+// TakeOver makes later starts use this process's files. Until then they use those of the process that ran when this one started. Only a
+// node that was opened with Options.DeferTakeOver needs it.
+func (n *Node) TakeOver() error {
+	if n.folder == nil {
+		return nil
+	}
+	return n.folder.takeOver()
+}
+
 // closeFiles closes the journal and unlocks the folder.
 func (n *Node) closeFiles() (err error) {
 	if n.journal != nil {
