Pass the list on before the peers of removed servers give their set-ups back

What callers saw: a set-up that waited for a server whose address another one took was refused, now and then, in place of going there.

Cause: the peer retired as soon as the list removed it, and its set-ups could reach the core ahead of the list; the module then decided on them with the old list. Change: removed peers stop sending at once, as before, and retire once the list has been posted to the core.

TestClockStepDuringRetryWait applied a change without publishing it and left a peer running; it publishes it now.

--- a/internal/routing/limits_test.go
+++ b/internal/routing/limits_test.go
@@ -188,6 +188,7 @@
 			started := func() control.Micros {
 				change := &listChange{list: h.list}
 				h.list.applyHost("", Host{Name: "c", Addr: "a", State: control.Ready, Since: control.Micros(stepped)}, change)
+				h.list.publish(change)
 				return change.entries[len(change.entries)-1].Since
 			}
 			since := started()
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -88,6 +88,7 @@
 	list    *List
 	named   map[string]bool // servers that the update names
 	entries []control.Entry
+	removed []*Peer // peers of removed servers, which retire once the module knows the change
 }
 
 // add adds the changed entry of a server.
@@ -118,7 +119,8 @@
 	l.publish(change)
 }
 
-// publish passes the changed entries to the module.
+// publish passes the changed entries to the module, and then retires the peers of removed servers: the module must know the change before
+// it decides again on the set-ups that these give back.
 func (l *List) publish(change *listChange) {
 	peers := map[uint32]*Peer{}
 	for _, h := range l.hosts {
@@ -129,6 +131,9 @@
 		l.core.targetsCountedAt = -viewInterval // the list's size is counted at once
 		l.core.handle(control.List{Delta: true, Entries: change.entries})
 	})
+	for _, p := range change.removed {
+		p.Post(p.retire)
+	}
 }
 
 // removeUnnamed removes the servers of a source that its complete list does not name.
@@ -203,7 +208,8 @@
 	h.cancelDeferred()
 	delete(l.hosts, h.Name)
 	l.removeHolder(h)
-	h.peer.setState(control.Gone)
+	h.peer.stopSending()
+	change.removed = append(change.removed, h.peer)
 	change.add(h.Name, control.Entry{Server: h.id, Cell: h.Cell, State: control.Gone, Since: h.since})
 }
 
--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -68,18 +68,16 @@
 	return p
 }
 
-// setState sets the server's state on the list. It takes effect at once, also for queued attempts.
+// setState sets the state of a server that is on the list. It takes effect at once, also for queued attempts.
 func (p *Peer) setState(s control.State) {
 	p.state.Store(int32(s))
-	p.Post(func() {
-		if s == control.Gone {
-			p.retire()
-		} else {
-			p.connect()
-		}
-	})
+	p.Post(p.connect)
 }
 
+// stopSending sets the state of a server that was removed from the list. It takes effect at once, also for queued attempts; the peer
+// retires later.
+func (p *Peer) stopSending() { p.state.Store(int32(control.Gone)) }
+
 // sameServer reports whether two peers may be connected to the same process: after a removal and a new entry of the list, the
 // connections of the old peer and those of the new one lead there.
 func (p *Peer) sameServer(other *Peer) bool {
