Take datagrams of SIP servers also while clients have all waiting places and memory

Read while the memory budget was reviewed: a SIP server over UDP shares the socket with the clients, so a flood from ever new sources could have its responses dropped.

--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -74,6 +74,7 @@
 	core             Core
 	transactionLayer *transactionLayer
 	udp              *udpSocket // nil if disabled
+	sources          *datagramSources
 	tcp              *transport.Listener
 	tcpConns         map[string]*transport.Conn     // open TCP connections, by remote address
 	pendingCalls     map[*serverTx]*uasCall         // set-ups without a final answer
@@ -101,6 +102,7 @@
 		pendingCalls: map[*serverTx]*uasCall{}, pendingRequests: map[string]bool{}, dialogs: map[string]*dialog{},
 		dialogsByID: map[string]*dialog{}, dialogsByAttempt: map[routing.AttemptRef]*dialog{}, tagSeed: maphash.MakeSeed(),
 		badInput: loglimit.New(options.Log), serverConns: map[string]*serverConn{}}
+	a.sources = newDatagramSources(options.Memory.Datagrams, a.handleDatagram)
 	a.transactionLayer = newTransactionLayer(options.Timers, a.After)
 	return a
 }
--- a/internal/protocol/sip/datagram_sources.go
+++ b/internal/protocol/sip/datagram_sources.go
@@ -21,6 +21,8 @@
 type datagramSources struct {
 	memory *transport.MemoryBudget
 	handle func(*datagramSource, []byte) // handles one datagram; called from the source's goroutine
+	// servers holds the keys of the sources that are servers. Their responses must not be dropped because clients have taken all memory.
+	servers sync.Map
 
 	mu       sync.Mutex
 	sources  map[netip.AddrPort]*datagramSource
@@ -36,6 +38,12 @@
 	running bool     // its goroutine handles datagrams; guarded by datagramSources.mu
 }
 
+// sourceKey returns the key of a source in datagramSources.
+func sourceKey(addr *net.UDPAddr) netip.AddrPort {
+	key := addr.AddrPort()
+	return netip.AddrPortFrom(key.Addr().Unmap(), key.Port())
+}
+
 func newDatagramSources(memory *transport.MemoryBudget, handle func(*datagramSource, []byte)) *datagramSources {
 	return &datagramSources{memory: memory, handle: handle, sources: map[netip.AddrPort]*datagramSource{}, removeAt: minSourcesForRemove}
 }
@@ -46,37 +54,40 @@
 	if !ok {
 		return
 	}
+	key := sourceKey(udp)
+	_, isServer := d.servers.Load(key)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.source(udp)
-	if len(s.waiting) >= maxSourceDatagrams || !s.running && d.waiting >= maxWaitingSources || !s.memory.Reserve(len(data)) {
-		return
-	}
-	if s.running {
-		s.waiting = append(s.waiting, bytes.Clone(data))
+	s := d.source(key, udp, isServer)
+	if len(s.waiting) >= maxSourceDatagrams || !s.running && !isServer && d.waiting >= maxWaitingSources || !s.memory.Reserve(len(data)) {
 		return
 	}
-	if !s.memory.Reserve(sourceMemory) {
+	if !s.running && !s.memory.Reserve(sourceMemory) {
 		s.memory.Release(len(data))
 		return
 	}
 	s.waiting = append(s.waiting, bytes.Clone(data))
-	s.running = true
-	d.waiting++
-	go d.run(s)
+	if !s.running {
+		s.running = true
+		d.waiting++
+		go d.run(s)
+	}
 }
 
-// source returns the source with an address.
-func (d *datagramSources) source(from *net.UDPAddr) *datagramSource {
-	key := from.AddrPort()
+// source returns the source with a key. A server has no memory account.
+func (d *datagramSources) source(key netip.AddrPort, addr net.Addr, isServer bool) *datagramSource {
 	s := d.sources[key]
-	if s == nil {
-		if len(d.sources) >= d.removeAt {
-			d.removeIdle()
-		}
-		s = &datagramSource{addr: from, memory: d.memory.NewAccount()}
-		d.sources[key] = s
+	if s != nil && (!isServer || s.memory == nil) {
+		return s
+	}
+	if len(d.sources) >= d.removeAt {
+		d.removeIdle()
+	}
+	s = &datagramSource{addr: addr}
+	if !isServer {
+		s.memory = d.memory.NewAccount()
 	}
+	d.sources[key] = s
 	return s
 }
 
--- a/internal/protocol/sip/flow.go
+++ b/internal/protocol/sip/flow.go
@@ -78,11 +78,6 @@
 
 // readUDP reads datagrams until the socket is closed. Each source's datagrams are handled in its own turns.
 func (a *Agent) readUDP(pc net.PacketConn) {
-	sources := newDatagramSources(a.Memory.Datagrams, func(s *datagramSource, data []byte) {
-		a.Scheduler.Do(func() {
-			a.handleDatagram(udpFlow{pc, s.addr, s.memory}, data)
-		})
-	})
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := pc.ReadFrom(buf)
@@ -92,13 +87,18 @@
 		if err != nil {
 			continue // an ICMP error caused by an earlier datagram
 		}
-		sources.add(from, buf[:n])
+		a.sources.add(from, buf[:n])
 		runtime.Gosched() // a flood of datagrams must not keep the handling of others waiting
 	}
 }
 
-// handleDatagram parses a datagram and passes its message to the actor.
-func (a *Agent) handleDatagram(f udpFlow, data []byte) {
+// handleDatagram handles a datagram in a turn of its source.
+func (a *Agent) handleDatagram(s *datagramSource, data []byte) {
+	a.Scheduler.Do(func() { a.parseDatagram(udpFlow{a.udp.bound(), s.addr, s.memory}, data) })
+}
+
+// parseDatagram parses a datagram and passes its message to the actor.
+func (a *Agent) parseDatagram(f udpFlow, data []byte) {
 	m, err := Parse(data)
 	if err == ErrTooLong {
 		if m, _ = Parse(data[:MaxMessage]); m == nil {
--- a/internal/protocol/sip/uac.go
+++ b/internal/protocol/sip/uac.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -75,6 +76,7 @@
 			if err == nil {
 				server.flow = f
 				a.serverConns[server.key] = server
+				server.noteSource(true)
 			}
 			ready <- err
 		})
@@ -96,6 +98,20 @@
 	return server, nil
 }
 
+// noteSource records whether datagrams from the server's address are those of a server.
+func (c *serverConn) noteSource(isServer bool) {
+	f, ok := c.flow.(udpFlow)
+	if !ok {
+		return
+	}
+	key := sourceKey(f.addr.(*net.UDPAddr))
+	if isServer {
+		c.agent.sources.servers.Store(key, true)
+	} else {
+		c.agent.sources.servers.Delete(key)
+	}
+}
+
 // connectionLost ends the set-ups of a closed connection, because nothing else would end their transactions.
 func (c *serverConn) connectionLost(err error) {
 	for _, u := range c.inFlight {
@@ -276,6 +292,7 @@
 		a := c.agent
 		if a.serverConns[c.key] == c {
 			delete(a.serverConns, c.key)
+			c.noteSource(false)
 		}
 		for _, d := range a.dialogs {
 			if d.conn == c {
