--- a/cmd/beammux/flood_test.go
+++ b/cmd/beammux/flood_test.go
@@ -134,7 +134,7 @@
 	return l.Addr().String()
 }
 
-// running reports whether the flood goes on.
+// running reports whether the flood has not ended.
 func (f *floodTarget) running() bool {
 	select {
 	case <-f.stop:
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -7,7 +7,7 @@
 )
 
 // Actor runs the functions posted to it, one at a time and in order. The mailbox is not bounded: actors post to each other in
-// both directions, so a full mailbox could deadlock two of them. Whoever brings input from outside waits in Sync instead.
+// both directions, so a full mailbox could deadlock two of them. Readers of external input apply backpressure with Sync instead.
 type Actor struct {
 	mu    sync.Mutex
 	queue []func()
--- a/internal/protocol/bus/request_test.go
+++ b/internal/protocol/bus/request_test.go
@@ -19,8 +19,8 @@
 
 // Limits by the operators' pages.
 const (
-	toldLimit        = 7 * time.Second // a change counts as told, whether it arrived or not
-	toldLimitReached = 6 * time.Second // the same after a call that was given up, once discovery can be reached
+	changeDeadline    = 7 * time.Second // from a change at the bus to its application
+	reachableDeadline = 6 * time.Second // the same after a call that was given up, once discovery can be reached
 )
 
 // slowBus answers each request after a delay with the events that it has then, and sends later ones at once. A negative delay is no answer.
@@ -76,25 +76,25 @@
 	}
 }
 
-// told returns when a reader of the bus applies its event.
-func (b *slowBus) told(t *testing.T) time.Duration {
+// applied returns the time after which a reader of the bus applies its event.
+func (b *slowBus) applied(t *testing.T) time.Duration {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	b.began = time.Now()
-	told := time.Hour
+	applied := time.Hour
 	r := &Reader{Addr: "bus", Log: log, Dial: b.dial, Apply: func(routing.Update) {
-		told = time.Since(b.began)
+		applied = time.Since(b.began)
 		cancel()
 	}}
 	r.Run(ctx)
 	time.Sleep(time.Second) // until the bus has seen the end of its connections
-	return told
+	return applied
 }
 
-// Guards against a bus that is never heard because it begins its answers late: each request was given up after the silence that an open
+// Guards against changes that are never applied because the bus begins its answers late: each request was given up after the silence that an open
 // stream may have. At most one request is made beside the first.
 func TestSlowAnswersAreAwaited(t *testing.T) {
 	for _, delay := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second, 6500 * time.Millisecond} {
@@ -108,7 +108,7 @@
 					}
 					return delay
 				}
-				require.LessOrEqual(t, b.told(t), eventAt+toldLimit, "answers after %v, growing: %v", delay, growing)
+				require.LessOrEqual(t, b.applied(t), eventAt+changeDeadline, "answers after %v, growing: %v", delay, growing)
 				require.LessOrEqual(t, b.mostOpen.Load(), int32(2))
 				require.LessOrEqual(t, b.requests.Load(), int32(2))
 			})
@@ -127,7 +127,7 @@
 				}
 				return 0
 			}
-			require.LessOrEqual(t, b.told(t), returnsAt+toldLimitReached, "discovery can be reached after %v", returnsAt)
+			require.LessOrEqual(t, b.applied(t), returnsAt+reachableDeadline, "discovery can be reached after %v", returnsAt)
 			require.LessOrEqual(t, b.mostOpen.Load(), int32(2))
 		})
 	}
--- a/internal/protocol/jsonl/memory_test.go
+++ b/internal/protocol/jsonl/memory_test.go
@@ -73,7 +73,7 @@
 	require.Len(t, m.Text, 4*1000)
 }
 
-// Guards against a client that confirms no release and so loads the connections of others: while it goes on sending, only its first releases
+// Guards against a client that confirms no release and so loads the connections of others: while it continues to send, only its first releases
 // are sent to others too.
 func TestReleasesOfAClientThatConfirmsNoneStayOnItsConnection(t *testing.T) {
 	b := newBench(t)
--- a/internal/protocol/sip/dispatch.go
+++ b/internal/protocol/sip/dispatch.go
@@ -103,7 +103,7 @@
 	return t, isNew
 }
 
-// needsState reports whether a new request changes the state of a call, so that its repetition must be told apart.
+// needsState reports whether a new request changes the state of a call, so that a retransmission must be recognized.
 func (a *Agent) needsState(m *Message) bool {
 	switch m.Method {
 	case "INVITE":
--- a/internal/protocol/sip/memory_test.go
+++ b/internal/protocol/sip/memory_test.go
@@ -42,7 +42,7 @@
 	})
 }
 
-// Guards against memory that requests other than INVITE fill: what can be answered anew when it is repeated leaves no state.
+// Guards against memory that requests other than INVITE fill: what can be processed again when it is retransmitted leaves no state.
 func TestRequestsWithoutACallLeaveNoState(t *testing.T) {
 	forEachTransport(t, func(t *testing.T, proto string) {
 		server := New(t, answering)
--- a/internal/protocol/sip/release_attempt_test.go
+++ b/internal/protocol/sip/release_attempt_test.go
@@ -12,7 +12,7 @@
 	"beammux/internal/routing"
 )
 
-// Guards against a call that its caller is never told the end of: the release of an attempt at a server that died waits there, and ended
+// Guards against a call that is never released towards its caller: the release of an attempt at a server that died waits there, and ended
 // the call's later attempt at another server once the first was back.
 func TestReleaseOfADeadServersAttemptLeavesTheLaterOne(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/protocol/sip/transaction.go
+++ b/internal/protocol/sip/transaction.go
@@ -311,7 +311,7 @@
 // pendingMemory returns the bytes that a transaction of a request occupies until its final response.
 func pendingMemory(m *Message) int { return pendingTxMemory + messageCopies*m.size }
 
-// newStateless returns a transaction of a request whose repetition may be answered anew: it occupies no memory once it has its response.
+// newStateless returns a transaction of a request whose retransmission may be processed again: it occupies no memory after its response.
 func (layer *transactionLayer) newStateless(m *Message, f flow) *serverTx {
 	return &serverTx{layer: layer, req: m, flow: f, state: trying, stateless: true}
 }
--- a/internal/transport/memory_test.go
+++ b/internal/transport/memory_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against clients that take all memory: whatever the number of those that reserve as much as they get, the budget is kept and
+// Guards against clients that take all memory: with any number of clients that reserve as much as they get, the budget is kept and
 // another client gets its part.
 func TestGreedyClientsLeaveMemoryForOthers(t *testing.T) {
 	const limit, step, clients = 40 << 20, 4 << 10, 341
