--- a/cmd/beammux/flood_test.go
+++ b/cmd/beammux/flood_test.go
@@ -102,15 +102,18 @@
 }
 
 func startFloodTarget(t *testing.T) *floodTarget {
+	t.Helper()
+	return startFloodTargetWith(t, oneClass)
+}
+
+// startFloodTargetWith is startFloodTarget with other settings.
+func startFloodTargetWith(t *testing.T, settings string) *floodTarget {
 	t.Helper()
 	f := &floodTarget{server: startMenuServer(t, 100*time.Millisecond), stop: make(chan struct{}), operators: freeAddress(t),
 		sipUDP: freeAddress(t), sipTCP: freeAddress(t)}
 	f.server.holdTime, f.server.capacity = serverHoldTime, serverCapacity
 	dir := t.TempDir()
-	known := fmt.Sprintf(`{"offset":1,"batch":[{"offset":1,"topology":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"block":0,"health":"up","share":1,"born_ms":0}]}}]}`,
-		f.server.listener.Addr())
-	config := fmt.Sprintf(`{"listen":"127.0.0.1:0","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
-		floodMemoryMB, floodDescriptors, known, oneClass)
+	config := f.config("127.0.0.1:0", settings)
 	deploy := fmt.Sprintf(`{"sip":{"udp":%q,"tcp":%q,"default_class":"menu-view"}}`, f.sipUDP, f.sipTCP)
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "config.json"), []byte(config), 0o600))
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "deploy.json"), []byte(deploy), 0o600))
@@ -125,6 +128,14 @@
 	return f
 }
 
+// config returns the configuration of a gatekeeper that uses the target's menu server.
+func (f *floodTarget) config(listen, settings string) string {
+	known := fmt.Sprintf(`{"offset":1,"batch":[{"offset":1,"topology":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"block":0,"health":"up","share":1,"born_ms":0}]}}]}`,
+		f.server.listener.Addr())
+	return fmt.Sprintf(`{"listen":%q,"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
+		listen, floodMemoryMB, floodDescriptors, known, settings)
+}
+
 // freeAddress returns a loopback address whose port is free for TCP.
 func freeAddress(t *testing.T) string {
 	t.Helper()
