--- a/cmd/beammux/inventory_test.go
+++ b/cmd/beammux/inventory_test.go
@@ -40,12 +40,14 @@
 			g := &gatekeeperProcess{name: "g", dir: dir}
 			g.start(t)
 			client := dialCaller(t, g.callersAddr)
-			ids := callIDs(12)
-			for _, id := range ids {
-				client.establish(t, id)
-			}
-			for _, server := range servers {
-				require.True(t, slices.ContainsFunc(ids, server.holds), "no call at one of the servers")
+			const minimum, maximum = 12, 96
+			all := callIDs(maximum)
+			var ids []string
+			idle := func(server *menuServer) bool { return !slices.ContainsFunc(ids, server.holds) }
+			for len(ids) < minimum || slices.ContainsFunc(servers, idle) { // calls are distributed at random
+				require.Less(t, len(ids), maximum, "no call at one of the servers")
+				client.establish(t, all[len(ids)])
+				ids = all[:len(ids)+1]
 			}
 			for cut := range len(text) {
 				save(text[:cut])
