Show what keeps clients' connections open during an evacuation

New: proxy_client_connections by front and state, proxy_evacuation_decisions_total, proxy_evacuation_overdue_total; the log names each connection that is open 4 s after the call, with its unanswered set-ups, established calls, age and time since its last use, and the end of an evacuation with its time. No decision changed.

--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -22,6 +22,9 @@
 	ReleaseDelay control.Micros = 2_000_000
 )
 
+// CloseBy is the time from the evacuation by which no client may be connected any more, by the operators' terms.
+const CloseBy control.Micros = 4_000_000
+
 // Drain is the state of one gatekeeper: serving, or evacuated since a time. The zero value is serving.
 type Drain struct {
 	evacuated    bool
@@ -57,6 +60,11 @@
 // Evacuated reports whether clients are sent away, and since when.
 func (d *Drain) Evacuated() (bool, control.Micros) { return d.evacuated, d.since }
 
+// Overdue reports whether the time by which an evacuated gatekeeper must have closed its clients' connections has passed.
+func (d *Drain) Overdue(now control.Micros) bool {
+	return d.evacuated && !d.shuttingDown && now-d.since >= CloseBy
+}
+
 // Decision is the decision on one caller's connection.
 type Decision int
 
@@ -65,8 +73,14 @@
 	KeepOpen     Decision = iota
 	Close                 // no answer is pending: close it once the queued data is written
 	ReleaseCalls          // release the calls that stand on it towards both sides, then close it
+	Decisions             // number of decisions
 )
 
+var decisionNames = [Decisions]string{"keep_open", "close", "release_calls"}
+
+// String returns the name of the decision in logs and metrics.
+func (d Decision) String() string { return decisionNames[d] }
+
 // DecideConnection decides on a caller's connection. lastUsed is when it last carried a message or an answer; answerPending
 // means that a set-up on it waits for its answer; callStanding means that a call set up on it still stands.
 //
--- /dev/null
+++ b/internal/node/evacuation.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"beammux/control"
+	"beammux/control/drain"
+	"beammux/internal/loglimit"
+	"beammux/internal/transport"
+)
+
+// sweepInterval is the interval at which callers' connections are checked while the gatekeeper is evacuated.
+const sweepInterval = 100 * time.Millisecond
+
+// evacuation closes callers' connections while the gatekeeper is evacuated, as package drain decides, and reports on it. Its counts
+// are safe for concurrent use; all else belongs to the goroutine of run.
+type evacuation struct {
+	node      *Node
+	log       *loglimit.Limiter // log of connections that are overdue
+	decisions [drain.Decisions]atomic.Int64
+	overdue   atomic.Int64 // connections found open past drain.CloseBy, counted at each sweep
+	ready     bool         // at the last sweep
+	completed bool         // all connections have closed since the evacuation
+}
+
+// newEvacuation returns the evacuation of a gatekeeper that accepts callers.
+func newEvacuation(n *Node) *evacuation {
+	return &evacuation{node: n, log: loglimit.New(n.log), ready: true}
+}
+
+// startEvacuation starts the sweeps and registers their metrics.
+func (n *Node) startEvacuation(ctx context.Context) {
+	e := newEvacuation(n)
+	n.exporter.addConnections("json", n.listener.Usages)
+	if n.agent != nil {
+		n.exporter.addConnections("sip", n.agent.ClientConnections)
+	}
+	n.exporter.addEvacuation(e)
+	go e.run(ctx)
+}
+
+// run sweeps the connections periodically until ctx is done.
+func (e *evacuation) run(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		e.sweep()
+	}
+}
+
+// sweep applies the decisions of the drain state to all callers' connections.
+func (e *evacuation) sweep() {
+	n := e.node
+	n.ops.mu.Lock()
+	state, now := n.ops.drain, n.ops.now()
+	n.ops.mu.Unlock()
+	if n.agent != nil && state.Ready() != e.ready {
+		n.setAgentReady(state.Ready())
+	}
+	if e.ready = state.Ready(); e.ready {
+		e.completed = false
+		return
+	}
+	decide := func(usage transport.Usage) drain.Decision { return e.decide(state, now, usage) }
+	n.front.Sweep(decide)
+	if n.agent != nil {
+		n.agent.Sweep(decide)
+	}
+	e.noteCompletion(state, now)
+}
+
+// decide decides on one connection, counts the decision, and logs the connection if it is overdue.
+func (e *evacuation) decide(state drain.Drain, now control.Micros, usage transport.Usage) drain.Decision {
+	decision := state.DecideConnection(now, e.sinceStart(usage.LastUsed), usage.Unanswered > 0, usage.Established > 0)
+	e.decisions[decision].Add(1)
+	if state.Overdue(now) {
+		e.overdue.Add(1)
+		e.log.Warn("evacuation: connection of a client is open past its time", logrus.Fields{"caller": usage.Remote,
+			"unanswered": usage.Unanswered, "established": usage.Established, "decision": decision,
+			"age_ms": time.Since(usage.OpenedAt).Milliseconds(), "unused_ms": time.Since(usage.LastUsed).Milliseconds()})
+	}
+	return decision
+}
+
+// noteCompletion logs, once for each evacuation, that no connection of a client in JSON lines is left.
+func (e *evacuation) noteCompletion(state drain.Drain, now control.Micros) {
+	if e.completed || len(e.node.listener.Usages()) > 0 {
+		return
+	}
+	e.completed = true
+	_, since := state.Evacuated()
+	e.node.log.WithField("after_ms", int64(now-since)/1000).Info("evacuated: no client is connected")
+}
+
+// sinceStart converts a time to the clock of the drain state.
+func (e *evacuation) sinceStart(t time.Time) control.Micros {
+	return control.Micros(t.Sub(e.node.ops.started) / time.Microsecond)
+}
+
+// setAgentReady makes the health checks of SIP clients pass or fail.
+func (n *Node) setAgentReady(ready bool) {
+	if ready {
+		n.agent.Rejoin()
+	} else {
+		n.agent.Drain()
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"beammux/control"
+	"beammux/control/drain"
 	"beammux/control/fleetview"
 	"beammux/control/outlier"
 	"beammux/control/quota"
@@ -15,6 +16,7 @@
 	"beammux/internal/fleet"
 	"beammux/internal/limits"
 	"beammux/internal/routing"
+	"beammux/internal/transport"
 )
 
 // exporter exports the gatekeeper's metrics in the Prometheus text format. Each value is read from its source when the metrics
@@ -52,6 +54,36 @@
 	e.set.NewGauge("proxy_bus_first_byte_seconds", func() float64 { return firstByte().Seconds() })
 }
 
+// addConnections registers the metrics of the clients' connections at one front, by what they are used for.
+func (e *exporter) addConnections(front string, usages func() []transport.Usage) {
+	for state, matches := range map[string]func(transport.Usage) bool{
+		"unanswered":  func(u transport.Usage) bool { return u.Unanswered > 0 },
+		"established": func(u transport.Usage) bool { return u.Unanswered == 0 && u.Established > 0 },
+		"idle":        func(u transport.Usage) bool { return u.Unanswered == 0 && u.Established == 0 },
+	} {
+		e.set.NewGauge(fmt.Sprintf("proxy_client_connections{front=%q,state=%q}", front, state), func() float64 {
+			count := 0
+			for _, u := range usages() {
+				if matches(u) {
+					count++
+				}
+			}
+			return float64(count)
+		})
+	}
+}
+
+// addEvacuation registers the metrics of the evacuation: the decisions on connections at all sweeps, and how many connections were
+// found open past their time.
+func (e *exporter) addEvacuation(evacuation *evacuation) {
+	for decision := range drain.Decisions {
+		e.set.NewGauge(fmt.Sprintf("proxy_evacuation_decisions_total{decision=%q}", decision), func() float64 {
+			return float64(evacuation.decisions[decision].Load())
+		})
+	}
+	e.set.NewGauge("proxy_evacuation_overdue_total", func() float64 { return float64(evacuation.overdue.Load()) })
+}
+
 // addFleet registers the metrics of the fleet's membership view. They exist only where the fleet is enabled.
 func (e *exporter) addFleet(v *fleet.Fleet) {
 	for _, h := range fleetview.AllHealths {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -13,9 +12,6 @@
 	"beammux/internal/ops"
 )
 
-// sweepInterval is the interval at which callers' connections are checked while the gatekeeper is evacuated.
-const sweepInterval = 100 * time.Millisecond
-
 // operators holds the state that operators' requests change: whether the gatekeeper accepts clients. The drain package makes
 // the decisions.
 type operators struct {
@@ -69,45 +65,6 @@
 // WriteMetrics implements ops.Gatekeeper.
 func (n *Node) WriteMetrics(w io.Writer) { n.exporter.write(w) }
 
-// sweep closes callers' connections while the gatekeeper is evacuated, as the drain state decides, until ctx is done.
-func (n *Node) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	ready := true
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		n.ops.mu.Lock()
-		state, elapsed := n.ops.drain, n.ops.now()
-		n.ops.mu.Unlock()
-		if n.agent != nil && state.Ready() != ready {
-			n.setAgentReady(state.Ready())
-		}
-		if ready = state.Ready(); ready {
-			continue
-		}
-		decide := func(lastUsed time.Time, pending, established bool) drain.Decision {
-			return state.DecideConnection(elapsed, control.Micros(lastUsed.Sub(n.ops.started)/time.Microsecond), pending, established)
-		}
-		n.front.Sweep(decide)
-		if n.agent != nil {
-			n.agent.Sweep(decide)
-		}
-	}
-}
-
-// setAgentReady makes the health checks of SIP clients pass or fail.
-func (n *Node) setAgentReady(ready bool) {
-	if ready {
-		n.agent.Rejoin()
-	} else {
-		n.agent.Drain()
-	}
-}
-
 // openOperators starts to serve the operators' address if one is configured.
 func (n *Node) openOperators(network networkLimits) error {
 	if n.cfg.AdminAddr == "" {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -258,7 +258,7 @@
 	}
 	go n.bus.Run(ctx)
 	go n.remember(ctx)
-	go n.sweep(ctx)
+	n.startEvacuation(ctx)
 	go n.listener.Serve(n.front.Serve)
 	n.ops.serving.Store(true)
 	n.log.WithFields(logrus.Fields{"listen": n.Addr(), "calls": n.calls.Load()}).Info("serving")
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -96,27 +96,31 @@
 // Rejoin makes the front pass probes again after Drain.
 func (f *Front) Rejoin() { f.draining.Store(false) }
 
-// Sweep applies the verdict of decide to each connection. decide receives the time of the last use, whether a set-up waits
-// for its answer and whether only established calls use the connection. A release is sent to both sides: to the server by
-// the core, and to the caller on the connection before it closes.
-func (f *Front) Sweep(decide func(used time.Time, unanswered, onlyEstablished bool) drain.Decision) {
+// Sweep applies the decision of decide to each connection. A call that is released for it is released to both sides: to its server by
+// the core, and to its caller on the connection before that closes.
+func (f *Front) Sweep(decide func(transport.Usage) drain.Decision) {
 	f.mu.Lock()
 	conns := slices.Clone(f.conns)
 	f.mu.Unlock()
 	for _, c := range conns {
-		switch decide(c.LastUsed(), c.Held(), c.InUse() && !c.Held()) {
+		switch decide(c.Usage()) {
 		case drain.Close:
 			c.FinishIdle()
 		case drain.ReleaseCalls:
-			for _, id := range f.takeCalls(c) {
-				f.core.Hangup(id, causeNormal, nil, func(bool) {})
-				f.releases.deliver(Message{Type: "close", ID: id, Code: causeNormal}, c)
-			}
+			f.releaseCalls(c)
 			c.FinishIdle()
 		}
 	}
 }
 
+// releaseCalls releases the established calls of a connection to their servers and callers.
+func (f *Front) releaseCalls(c *conn) {
+	for _, id := range f.takeCalls(c) {
+		f.core.Hangup(id, causeNormal, nil, func(bool) {})
+		f.releases.deliver(Message{Type: "close", ID: id, Code: causeNormal}, c)
+	}
+}
+
 // takeCalls removes the established calls from a connection and returns their ids.
 func (f *Front) takeCalls(c *conn) (ids []string) {
 	f.mu.Lock()
--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -363,7 +363,7 @@
 	io.WriteString(near, `{"msg":"probe","sid":"`+id+`","attrs":{},"code":0}`+"\n")
 	r := bufio.NewReader(near)
 	b.line(r) // the connection is served and idle
-	b.front.Sweep(func(time.Time, bool, bool) drain.Decision { return drain.Close })
+	b.front.Sweep(func(transport.Usage) drain.Decision { return drain.Close })
 	if _, err := r.ReadByte(); err != io.EOF {
 		t.Fatalf("after the close began: read returned %v", err)
 	}
--- a/internal/protocol/jsonl/model_test.go
+++ b/internal/protocol/jsonl/model_test.go
@@ -189,8 +189,8 @@
 				slowed = true
 			case step == "drain":
 				f.Drain()
-				f.Sweep(func(_ time.Time, owed, standing bool) drain.Decision {
-					if owed {
+				f.Sweep(func(usage transport.Usage) drain.Decision {
+					if usage.Unanswered > 0 {
 						return drain.KeepOpen
 					}
 					return drain.Close
--- a/internal/protocol/sip/drain.go
+++ b/internal/protocol/sip/drain.go
@@ -1,8 +1,6 @@
 package sip
 
 import (
-	"time"
-
 	"beammux/control/drain"
 	"beammux/internal/transport"
 )
@@ -17,32 +15,41 @@
 // TurnAway makes the agent refuse all new set-ups, because the process exits once the earlier ones are answered.
 func (a *Agent) TurnAway() { a.Post(func() { a.refusing = true }) }
 
-// Sweep closes the callers' TCP connections that decide wants closed. decide receives the time of the last use, whether a set-up waits for
-// its answer and whether a call is established on the connection. Such a call is not released: its dialog does not end with the connection,
-// and the caller may have no other way to be reached, so the connection stays open.
-func (a *Agent) Sweep(decide func(used time.Time, unanswered, established bool) drain.Decision) {
+// Sweep closes the callers' TCP connections that decide wants closed. A call that is established on a connection is not released: its
+// dialog does not end with the connection, and the caller may have no other way to be reached, so the connection stays open.
+func (a *Agent) Sweep(decide func(transport.Usage) drain.Decision) {
 	a.Post(func() {
-		unanswered, established := a.connsInUse()
+		established := a.establishedCalls()
 		for _, c := range a.tcpConns {
-			if !a.isServerConn(c) && decide(c.LastUsed(), unanswered[c], established[c]) == drain.Close {
+			if a.isServerConn(c) {
+				continue
+			}
+			usage := c.Usage()
+			usage.Established = established[c]
+			if decide(usage) == drain.Close {
 				c.FinishIdle()
 			}
 		}
 	})
 }
 
-// connsInUse returns the TCP connections on which a set-up waits for its answer, and those on which a call is established.
-func (a *Agent) connsInUse() (unanswered, established map[*transport.Conn]bool) {
-	unanswered, established = map[*transport.Conn]bool{}, map[*transport.Conn]bool{}
-	for _, call := range a.pendingCalls {
-		unanswered[call.conn] = true
-	}
+// establishedCalls returns the number of calls that are established on each TCP connection.
+func (a *Agent) establishedCalls() map[*transport.Conn]int {
+	established := map[*transport.Conn]int{}
 	for _, d := range a.dialogs {
 		if f, ok := d.flow.(*tcpFlow); ok {
-			established[f.conn] = true
+			established[f.conn]++
 		}
 	}
-	return unanswered, established
+	return established
+}
+
+// ClientConnections returns what the callers' TCP connections are used for, without established calls.
+func (a *Agent) ClientConnections() []transport.Usage {
+	if a.tcp == nil {
+		return nil
+	}
+	return a.tcp.Usages()
 }
 
 // isServerConn reports whether a TCP connection leads to a server.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -62,6 +62,7 @@
 	wake            chan struct{}
 	closed          chan struct{}
 	onClose         func()
+	openedAt        time.Time
 	holds           atomic.Int32 // Holds that have not ended
 	calls           atomic.Int32 // established calls that arrived on it
 	lastUsed        atomic.Int64 // when it was last used, in Unix nanoseconds
@@ -262,9 +263,10 @@
 
 // newConn is NewConn without the writer.
 func newConn(nc net.Conn, onClose func()) *Conn {
-	c := &Conn{Conn: nc, socket: socketOf(nc), wake: make(chan struct{}, 1), closed: make(chan struct{}), onClose: onClose}
+	c := &Conn{Conn: nc, socket: socketOf(nc), wake: make(chan struct{}, 1), closed: make(chan struct{}), onClose: onClose,
+		openedAt: time.Now()}
 	c.readState.once = c.readOnce
-	c.lastUsed.Store(time.Now().UnixNano())
+	c.lastUsed.Store(c.openedAt.UnixNano())
 	return c
 }
 
