--- a/cmd/beammux/established_calls_test.go
+++ b/cmd/beammux/established_calls_test.go
@@ -29,11 +29,12 @@
 	comeAgainLimit = 7500 * time.Millisecond
 )
 
-// menuServer is a menu server whose every step a test decides. It accepts each set-up at once, and sends its state on each new
+// menuServer is a menu server whose every step a test decides. It accepts each set-up, at once or after a delay, and sends its state on each new
 // connection and, if reportInterval is not zero, periodically.
 type menuServer struct {
 	reportInterval time.Duration
 	holdTime       time.Duration // after which it releases each call; 0: never
+	answerDelay    time.Duration // before it accepts a set-up
 	capacity       int           // calls that it holds at a time; further ones are refused; 0: no limit
 	listener       net.Listener
 
@@ -115,7 +116,11 @@
 			s.held++
 			answer := sip.Respond(m, 200, "OK")
 			answer.Body = []byte("answer " + id)
-			conn.Write(answer.Append(nil))
+			if s.answerDelay > 0 {
+				time.AfterFunc(s.answerDelay, func() { s.write(conn, answer.Append(nil)) })
+			} else {
+				conn.Write(answer.Append(nil))
+			}
 			if s.holdTime > 0 {
 				time.AfterFunc(s.holdTime, func() { s.endCall(conn, id) })
 			}
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -85,7 +85,7 @@
 	if state.Overdue(now) {
 		e.overdue.Add(1)
 		e.log.Warn("evacuation: connection of a client is open past its time", logrus.Fields{"caller": usage.Remote,
-			"unanswered": usage.Unanswered, "established": usage.Established, "decision": decision,
+			"unanswered": usage.Unanswered, "established": usage.Established, "decision": decision.String(),
 			"age_ms": time.Since(usage.OpenedAt).Milliseconds(), "unused_ms": time.Since(usage.LastUsed).Milliseconds()})
 	}
 	return decision
