End the connections of an evacuated gatekeeper by fixed times, whatever clients do

Cause: DecideConnection kept a connection while an answer was pending or it had been used in the last 0.3 s. Set-ups that overlap, or that follow one another closely, never leave such a moment to a look every 100 ms: an end that is due by a time was left to a pause of the other side.

Now each stage has its own end: 2 s after the call new set-ups are refused by the front and a connection closes, its calls released, once none waits; at 3.4 s the set-ups that still wait are ended (Core.Abort), at 3.8 s what is left is cut. No step waits for a client, so 4 s hold by construction; TestConnectionModel has this for any use. The SIP front follows the same decisions on TCP.

DecideConnection's tests take the new stages; each check that they had stands, but that a pending answer keeps its connection past 3.4 s, which is the fault.

--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -3,28 +3,34 @@
 // the node calls it with the time and executes its decisions.
 //
 // After the first "not ready" the front still routes new connections here for a short while, and uses kept connections
-// for as long as they are open. So nothing is refused because of the drain: every request is served by the same rules as
-// before, and a connection is closed once no answer is pending on it and it has been quiet for a moment. That moment is
-// short compared to the 4 s after which no connection may be held idle, and long enough that a set-up that the front is
-// writing on a new connection is read and not cut off.
+// for as long as they are open. By CloseBy no client may be connected any more. That must not depend on what clients do, so
+// an evacuation has stages with fixed ends:
 //
-// Rejected alternative: refusing set-ups once evacuated. It would turn away clients that another gatekeeper would have
-// served, and the front stops sending by itself; to move kept clients, the front needs idle connections to be closed.
+//   - Until ReleaseDelay every request is served by the same rules as before, and a connection is closed once it has been quiet
+//     for QuietPeriod, with no answer pending and no call standing on it.
+//   - Then set-ups that arrive are refused, and a connection is closed, with its calls released, once no answer is pending.
+//   - From AnswerDelay on the pending set-ups are ended.
+//   - From CutDelay on a connection that is still open is closed at once.
+//
+// Rejected alternatives: refusing set-ups once evacuated, which turns away clients that this gatekeeper can still serve; waiting
+// for a moment without a pending answer, which a client whose set-ups overlap never leaves; not reading from the connection, since
+// the set-ups that are unread at its close are lost.
 package drain
 
 import "beammux/control"
 
-// Delays of the drain. QuietPeriod is how long a connection without a pending answer stays open after its last use, or after
-// the evacuation if that was later. ReleaseDelay is the time from the evacuation until calls that still stand on a
-// connection are released, so that it can be closed.
+// QuietPeriod is how long a connection without a pending answer stays open after its last use, after the evacuation, and after it
+// was opened: long enough that a set-up that the front is writing on a new connection is read and not cut off.
+const QuietPeriod control.Micros = 300_000
+
+// Times from the evacuation to its stages. Set-ups that arrive before ReleaseDelay have until AnswerDelay for their answer.
 const (
-	QuietPeriod  control.Micros = 300_000
-	ReleaseDelay control.Micros = 2_000_000
+	ReleaseDelay control.Micros = 2_000_000 // set-ups are refused, standing calls are released
+	AnswerDelay  control.Micros = 3_400_000 // pending set-ups are ended
+	CutDelay     control.Micros = 3_800_000 // connections are closed without writing what is queued
+	CloseBy      control.Micros = 4_000_000 // no client may be connected any more, by the operators' terms
 )
 
-// CloseBy is the time from the evacuation by which no client may be connected any more, by the operators' terms.
-const CloseBy control.Micros = 4_000_000
-
 // Drain is the state of one gatekeeper: serving, or evacuated since a time. The zero value is serving.
 type Drain struct {
 	evacuated    bool
@@ -65,6 +71,19 @@
 	return d.evacuated && !d.shuttingDown && now-d.since >= CloseBy
 }
 
+// RefusesSetups reports whether set-ups that arrive on callers' connections are refused, so that these can be closed.
+func (d *Drain) RefusesSetups(now control.Micros) bool {
+	return d.evacuated && !d.shuttingDown && now-d.since >= ReleaseDelay
+}
+
+// Connection is what the decision on a caller's connection depends on.
+type Connection struct {
+	OpenedAt    control.Micros
+	LastUsed    control.Micros // when it last carried a message or an answer
+	Unanswered  bool           // a set-up on it waits for its answer
+	Established bool           // a call that was set up on it still stands
+}
+
 // Decision is the decision on one caller's connection.
 type Decision int
 
@@ -73,29 +92,34 @@
 	KeepOpen     Decision = iota
 	Close                 // no answer is pending: close it once the queued data is written
 	ReleaseCalls          // release the calls that stand on it towards both sides, then close it
+	EndSetups             // end its pending set-ups, release its calls, then close it even if input is unread
+	Cut                   // close it at once
 	Decisions             // number of decisions
 )
 
-var decisionNames = [Decisions]string{"keep_open", "close", "release_calls"}
+var decisionNames = [Decisions]string{"keep_open", "close", "release_calls", "end_setups", "cut"}
 
 // String returns the name of the decision in logs and metrics.
 func (d Decision) String() string { return decisionNames[d] }
 
-// DecideConnection decides on a caller's connection. lastUsed is when it last carried a message or an answer; answerPending
-// means that a set-up on it waits for its answer; callStanding means that a call set up on it still stands.
-//
-// The front counts against the gatekeeper any connection that is still open 4 s after the evacuation and is idle or has
-// carried a request in the last 2 s. So until ReleaseDelay a connection with standing calls is kept, and their releases
-// are sent on it as they arrive; after that the gatekeeper releases these calls and closes the connection, which leaves
-// 2 s for the answers still pending on the others.
-func (d *Drain) DecideConnection(now, lastUsed control.Micros, answerPending, callStanding bool) Decision {
-	switch {
-	case !d.evacuated || answerPending:
+// DecideConnection decides on a caller's connection. A process that is shutting down ends set-ups and connections by itself.
+func (d *Drain) DecideConnection(now control.Micros, c Connection) Decision {
+	elapsed, age := now-d.since, now-c.OpenedAt
+	if !d.evacuated || age < QuietPeriod {
+		return KeepOpen
+	}
+	if !d.shuttingDown {
+		switch {
+		case elapsed >= CutDelay && age >= QuietPeriod+CutDelay-AnswerDelay:
+			return Cut
+		case elapsed >= AnswerDelay:
+			return EndSetups
+		case elapsed >= ReleaseDelay && !c.Unanswered:
+			return ReleaseCalls
+		}
+	}
+	if c.Unanswered || c.Established || now-max(c.LastUsed, d.since) < QuietPeriod {
 		return KeepOpen
-	case callStanding && now-d.since >= ReleaseDelay && !d.shuttingDown:
-		return ReleaseCalls
-	case !callStanding && now-max(lastUsed, d.since) >= QuietPeriod:
-		return Close
 	}
-	return KeepOpen
+	return Close
 }
--- a/control/drain/drain_test.go
+++ b/control/drain/drain_test.go
@@ -27,34 +27,50 @@
 	}
 }
 
-func TestIdleConnectionsCloseAfterEvacuate(t *testing.T) {
-	var d Drain
-	if d.DecideConnection(10_000_000, 0, false, false) != KeepOpen {
-		t.Fatal("a serving gatekeeper closed an idle connection")
-	}
-	d.Evacuate(10_000_000)
-	if d.DecideConnection(10_000_000+QuietPeriod-1, 0, false, false) != KeepOpen {
-		t.Fatal("closed before the quiet period since the evacuation")
-	}
-	if d.DecideConnection(10_000_000+QuietPeriod, 0, false, false) != Close {
-		t.Fatal("idle connection kept after the quiet period")
-	}
-	if d.DecideConnection(20_000_000, 0, true, true) != KeepOpen {
-		t.Fatal("closed a connection with a pending answer")
-	}
-	if d.DecideConnection(10_000_000+QuietPeriod, 10_000_000+1, false, false) != KeepOpen {
-		t.Fatal("closed a connection that was just used")
-	}
-	if d.DecideConnection(10_000_000+ReleaseDelay-1, 0, false, true) != KeepOpen {
-		t.Fatal("standing calls were released before the release delay")
+func TestConnectionsCloseAfterEvacuate(t *testing.T) {
+	const evacuatedAt = 10_000_000
+	old := Connection{}
+	with := func(change func(*Connection)) Connection {
+		c := old
+		change(&c)
+		return c
 	}
-	if d.DecideConnection(10_000_000+ReleaseDelay, 0, false, true) != ReleaseCalls {
-		t.Fatal("standing calls were kept after the release delay")
+	unanswered := with(func(c *Connection) { c.Unanswered = true })
+	established := with(func(c *Connection) { c.Established = true })
+	both := with(func(c *Connection) { c.Unanswered, c.Established = true, true })
+	for _, test := range []struct {
+		name  string
+		after control.Micros // the evacuation
+		conn  Connection
+		want  Decision
+	}{
+		{"idle, before the quiet period since the evacuation", QuietPeriod - 1, old, KeepOpen},
+		{"idle, after the quiet period", QuietPeriod, old, Close},
+		{"just used", QuietPeriod, with(func(c *Connection) { c.LastUsed = evacuatedAt + 1 }), KeepOpen},
+		{"just opened", ReleaseDelay, with(func(c *Connection) { c.OpenedAt = evacuatedAt + ReleaseDelay - QuietPeriod + 1 }), KeepOpen},
+		{"pending answer", ReleaseDelay, unanswered, KeepOpen},
+		{"pending answer and standing calls", AnswerDelay - 1, both, KeepOpen},
+		{"standing calls, before the release delay", ReleaseDelay - 1, established, KeepOpen},
+		{"standing calls, after the release delay", ReleaseDelay, established, ReleaseCalls},
+		{"just used, after the release delay", ReleaseDelay, with(func(c *Connection) { c.LastUsed = evacuatedAt + ReleaseDelay }), ReleaseCalls},
+		{"pending answer, after the answer delay", AnswerDelay, both, EndSetups},
+		{"pending answer, after the cut delay", CutDelay, both, Cut},
+		{"opened late, after the cut delay", CutDelay, with(func(c *Connection) { c.OpenedAt = evacuatedAt + CutDelay - QuietPeriod }), EndSetups},
+	} {
+		var d Drain
+		if d.DecideConnection(evacuatedAt+test.after, test.conn) != KeepOpen {
+			t.Errorf("%s: a serving gatekeeper closed the connection", test.name)
+		}
+		d.Evacuate(evacuatedAt)
+		if got := d.DecideConnection(evacuatedAt+test.after, test.conn); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
 	}
 }
 
-// Property test over sequences of evacuations and rejoins: nothing is closed while serving or with an answer pending; an
-// idle connection is closed after the quiet period, and one with standing calls is released after the release delay.
+// Property test over sequences of evacuations and rejoins: nothing is closed while serving; with an answer pending a connection is kept
+// until the answer delay and then ended whatever its client does; an idle one is closed after the quiet period, and one with standing
+// calls is released after the release delay.
 func TestConnectionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var d Drain
@@ -67,32 +83,48 @@
 			case 1:
 				d.Rejoin(now)
 			}
-			lastUsed := now - control.Micros(rapid.Int64Range(0, 3_000_000).Draw(t, "idle"))
-			answerPending, callStanding := rapid.Bool().Draw(t, "answer pending"), rapid.Bool().Draw(t, "call standing")
-			got := d.DecideConnection(now, lastUsed, answerPending, callStanding)
+			c := Connection{LastUsed: now - control.Micros(rapid.Int64Range(0, 3_000_000).Draw(t, "idle")),
+				Unanswered: rapid.Bool().Draw(t, "unanswered"), Established: rapid.Bool().Draw(t, "established")}
+			c.OpenedAt = c.LastUsed - control.Micros(rapid.Int64Range(0, 3_000_000).Draw(t, "older"))
+			got := d.DecideConnection(now, c)
 			evacuated, since := d.Evacuated()
+			elapsed, age := now-since, now-c.OpenedAt
 			want := KeepOpen
 			switch {
-			case !evacuated || answerPending:
-			case callStanding && now-since >= ReleaseDelay:
+			case !evacuated || age < QuietPeriod:
+			case elapsed >= CutDelay && age >= QuietPeriod+CutDelay-AnswerDelay:
+				want = Cut
+			case elapsed >= AnswerDelay:
+				want = EndSetups
+			case c.Unanswered:
+			case elapsed >= ReleaseDelay:
 				want = ReleaseCalls
-			case !callStanding && now-lastUsed >= QuietPeriod && now-since >= QuietPeriod:
+			case !c.Established && now-c.LastUsed >= QuietPeriod && elapsed >= QuietPeriod:
 				want = Close
 			}
 			if got != want || d.Ready() == evacuated {
-				t.Fatalf("at %d: %v, want %v (evacuated %v since %d, last used %d, answer pending %v, call standing %v)",
-					now, got, want, evacuated, since, lastUsed, answerPending, callStanding)
+				t.Fatalf("at %d: %v, want %v (evacuated %v since %d, %+v)", now, got, want, evacuated, since, c)
+			}
+			if refuses := evacuated && elapsed >= ReleaseDelay; d.RefusesSetups(now) != refuses {
+				t.Fatalf("at %d: refuses set-ups %v, want %v (evacuated %v since %d)", now, !refuses, refuses, evacuated, since)
 			}
 		}
 	})
 }
 
-// A process that is shutting down releases no calls and cannot rejoin.
+// A process that is shutting down releases no calls, ends no set-ups and cannot rejoin.
 func TestEnd(t *testing.T) {
 	var d Drain
 	d.Shutdown(1_000_000)
 	d.Rejoin(2_000_000)
-	if d.Ready() || d.DecideConnection(1_000_000+2*ReleaseDelay, 0, false, true) != KeepOpen || d.DecideConnection(1_000_000+2*ReleaseDelay, 0, false, false) != Close {
-		t.Error("a process that is shutting down rejoined, or would release standing calls")
+	if d.Ready() || d.RefusesSetups(1_000_000+CloseBy) || d.Overdue(1_000_000+CloseBy) {
+		t.Error("a process that is shutting down rejoined, refuses set-ups, or counts as overdue")
+	}
+	for _, after := range []control.Micros{ReleaseDelay, AnswerDelay, CutDelay, 2 * CloseBy} {
+		now := 1_000_000 + after
+		if d.DecideConnection(now, Connection{Established: true}) != KeepOpen || d.DecideConnection(now, Connection{Unanswered: true}) != KeepOpen ||
+			d.DecideConnection(now, Connection{}) != Close {
+			t.Errorf("%d after the shutdown: a connection with a call or a set-up was closed, or an idle one was not", after)
+		}
 	}
 }
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -24,6 +24,7 @@
 	decisions [drain.Decisions]atomic.Int64
 	overdue   atomic.Int64 // connections found open past drain.CloseBy, counted at each sweep
 	ready     bool         // at the last sweep
+	refusing  bool         // set-ups are refused since the last sweep
 	completed bool         // all connections have closed since the evacuation
 }
 
@@ -66,6 +67,7 @@
 	if n.agent != nil && state.Ready() != e.ready {
 		n.setAgentReady(state.Ready())
 	}
+	e.refuseSetups(state.RefusesSetups(now))
 	if e.ready = state.Ready(); e.ready {
 		e.completed = false
 		return
@@ -78,15 +80,34 @@
 	e.noteCompletion(state, now)
 }
 
-// decide decides on one connection, counts the decision, and logs the connection if it is overdue.
+// refuseSetups makes both fronts refuse the set-ups that arrive on connections, or serve them again.
+func (e *evacuation) refuseSetups(refuse bool) {
+	e.node.front.RefuseSetups(refuse)
+	if refuse == e.refusing {
+		return
+	}
+	e.refusing = refuse
+	if e.node.agent != nil {
+		e.node.agent.RefuseSetups(refuse)
+	}
+	if refuse {
+		e.node.log.WithField("connections", len(e.node.listener.Usages())).Info("evacuation: new set-ups are refused, calls are released")
+	}
+}
+
+// decide decides on one connection, counts the decision, and logs what it ends and connections that are overdue.
 func (e *evacuation) decide(state drain.Drain, now control.Micros, usage transport.Usage) drain.Decision {
-	decision := state.DecideConnection(now, e.sinceStart(usage.LastUsed), usage.Unanswered > 0, usage.Established > 0)
+	decision := state.DecideConnection(now, drain.Connection{OpenedAt: e.sinceStart(usage.OpenedAt), LastUsed: e.sinceStart(usage.LastUsed),
+		Unanswered: usage.Unanswered > 0, Established: usage.Established > 0})
 	e.decisions[decision].Add(1)
-	if state.Overdue(now) {
+	fields := logrus.Fields{"caller": usage.Remote, "unanswered": usage.Unanswered, "established": usage.Established,
+		"decision": decision.String(), "age_ms": time.Since(usage.OpenedAt).Milliseconds(), "unused_ms": time.Since(usage.LastUsed).Milliseconds()}
+	switch {
+	case state.Overdue(now):
 		e.overdue.Add(1)
-		e.log.Warn("evacuation: connection of a client is open past its time", logrus.Fields{"caller": usage.Remote,
-			"unanswered": usage.Unanswered, "established": usage.Established, "decision": decision.String(),
-			"age_ms": time.Since(usage.OpenedAt).Milliseconds(), "unused_ms": time.Since(usage.LastUsed).Milliseconds()})
+		e.log.Warn("evacuation: connection of a client is open past its time", fields)
+	case decision == drain.EndSetups && usage.Unanswered > 0, decision == drain.Cut:
+		e.log.Info("evacuation: connection of a client is ended with what is open on it", fields)
 	}
 	return decision
 }
--- a/internal/protocol/jsonl/conn.go
+++ b/internal/protocol/jsonl/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"maps"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +88,13 @@
 	return c.open[id]
 }
 
+// openSetups returns the unanswered set-ups.
+func (c *conn) openSetups() []*caller {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.open))
+}
+
 // openCount returns the number of unanswered set-ups.
 func (c *conn) openCount() int {
 	c.mu.Lock()
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -50,8 +50,12 @@
 	Withdraw(id string, caller routing.Caller, done func(inTime bool))
 	// Hangup ends a call. done receives whether the call was known.
 	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
+	// Abort ends a set-up that has no final answer yet. Its caller receives one.
+	Abort(id string, caller routing.Caller)
 	// CountMalformed counts a set-up with invalid fields, which the front has refused.
 	CountMalformed(class int)
+	// CountRefused counts a set-up that the front refused because of an overload or an evacuation without passing it to the core.
+	CountRefused(class int)
 }
 
 // Front serves callers that speak JSON lines.
@@ -69,6 +73,7 @@
 	badInput *loglimit.Limiter // log of bad messages
 	releases *releaseDelivery
 	draining atomic.Bool
+	refusing atomic.Bool
 	closing  atomic.Bool
 
 	mu          sync.Mutex
@@ -93,8 +98,14 @@
 // answers earlier set-ups.
 func (f *Front) TurnAway() { f.closing.Store(true) }
 
-// Rejoin makes the front pass probes again after Drain.
-func (f *Front) Rejoin() { f.draining.Store(false) }
+// RefuseSetups makes the front refuse the set-ups that arrive from now on, so that connections can be closed, or serve them again.
+func (f *Front) RefuseSetups(refuse bool) { f.refusing.Store(refuse) }
+
+// Rejoin makes the front pass probes and serve set-ups again after Drain.
+func (f *Front) Rejoin() {
+	f.draining.Store(false)
+	f.refusing.Store(false)
+}
 
 // Sweep applies the decision of decide to each connection. A call that is released for it is released to both sides: to its server by
 // the core, and to its caller on the connection before that closes.
@@ -109,10 +120,23 @@
 		case drain.ReleaseCalls:
 			f.releaseCalls(c)
 			c.FinishIdle()
+		case drain.EndSetups:
+			f.abortSetups(c)
+			f.releaseCalls(c)
+			c.FinishAnswered()
+		case drain.Cut:
+			c.Close()
 		}
 	}
 }
 
+// abortSetups ends the unanswered set-ups of a connection.
+func (f *Front) abortSetups(c *conn) {
+	for _, setup := range c.openSetups() {
+		f.core.Abort(setup.id, setup)
+	}
+}
+
 // releaseCalls releases the established calls of a connection to their servers and callers.
 func (f *Front) releaseCalls(c *conn) {
 	for _, id := range f.takeCalls(c) {
@@ -298,6 +322,9 @@
 		invalid()
 		return nil
 	}
+	if f.refusing.Load() {
+		return f.refuse(c, m.ID, setup.Class)
+	}
 	if !c.addSetup(newCaller) {
 		return errClosing
 	}
@@ -310,6 +337,16 @@
 	return nil
 }
 
+// refuse refuses a set-up without passing it to the core. The caller may retry it at once, at another gatekeeper.
+func (f *Front) refuse(c *conn, id string, class int) error {
+	if !c.send(Message{Type: "close", ID: id, Code: routing.CauseCongest}) {
+		return errClosing
+	}
+	f.core.CountRefused(class)
+	f.releases.noteKind(c, callerPeer)
+	return nil
+}
+
 // parseSetup decodes the fields of a set-up. Values that a server can't read must not reach it: the server would close the
 // connection and end the calls of others with it.
 func (f *Front) parseSetup(m *Message) (routing.Setup, error) {
--- a/internal/protocol/jsonl/jsonl_test.go
+++ b/internal/protocol/jsonl/jsonl_test.go
@@ -27,6 +27,8 @@
 
 func (c *core) Open(s routing.Setup, k routing.Caller) { c.callers <- k; c.opened <- s }
 func (c *core) CountMalformed(int)                     {}
+func (c *core) CountRefused(int)                       {}
+func (c *core) Abort(string, routing.Caller)           {}
 
 func (c *core) Withdraw(id string, _ routing.Caller, done func(bool)) {
 	c.withdrawn <- id
--- a/internal/protocol/jsonl/model_test.go
+++ b/internal/protocol/jsonl/model_test.go
@@ -52,6 +52,10 @@
 
 func (l *countingCore) CountMalformed(int) {}
 
+func (l *countingCore) CountRefused(int) {}
+
+func (l *countingCore) Abort(id string, caller routing.Caller) { l.Withdraw(id, caller, nil) }
+
 func (l *countingCore) Withdraw(id string, k routing.Caller, done func(bool)) {
 	l.mu.Lock()
 	e := l.calls[id]
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -26,6 +26,8 @@
 	Withdraw(id string, caller routing.Caller, done func(inTime bool))
 	// Hangup ends a call from the caller's side. known reports whether the core knew the call. caller and done may be nil.
 	Hangup(id string, cause int, caller routing.Caller, done func(known bool))
+	// Abort ends a call that has no final answer yet. Its caller receives one.
+	Abort(id string, caller routing.Caller)
 	// ReleaseOrphan passes on a server's release of a call that was established before this process started, to its caller.
 	ReleaseOrphan(id string, cause int)
 	// CountMalformed counts a set-up that the agent refused without passing it to the core. class is the index of its class in the
@@ -87,6 +89,7 @@
 	serverConns      map[string]*serverConn         // by transport and server address
 	draining         bool
 	refusing         bool // new set-ups are refused, because the process is about to exit
+	refusingOnConns  bool // new set-ups on TCP connections are refused, so that these can be closed
 	closeOnce        sync.Once
 }
 
--- a/internal/protocol/sip/drain.go
+++ b/internal/protocol/sip/drain.go
@@ -15,7 +15,11 @@
 // TurnAway makes the agent refuse all new set-ups, because the process exits once the earlier ones are answered.
 func (a *Agent) TurnAway() { a.Post(func() { a.refusing = true }) }
 
-// Sweep closes the callers' TCP connections that decide wants closed. A call that is established on a connection is not released: its
+// RefuseSetups makes the agent refuse the set-ups that arrive on TCP connections from now on, so that these can be closed, or serve them
+// again. Set-ups in datagrams hold no connection.
+func (a *Agent) RefuseSetups(refuse bool) { a.Post(func() { a.refusingOnConns = refuse }) }
+
+// Sweep applies the decision of decide to each TCP connection of a caller. A call that is established on a connection is not released: its
 // dialog does not end with the connection, and the caller may have no other way to be reached, so the connection stays open.
 func (a *Agent) Sweep(decide func(transport.Usage) drain.Decision) {
 	a.Post(func() {
@@ -26,13 +30,38 @@
 			}
 			usage := c.Usage()
 			usage.Established = established[c]
-			if decide(usage) == drain.Close {
-				c.FinishIdle()
-			}
+			a.applyDecision(c, decide(usage), usage.Established > 0)
 		}
 	})
 }
 
+// applyDecision applies a decision to the TCP connection of a caller.
+func (a *Agent) applyDecision(c *transport.Conn, decision drain.Decision, established bool) {
+	if decision == drain.EndSetups {
+		a.abortCalls(c)
+	}
+	if established {
+		return
+	}
+	switch decision {
+	case drain.Close, drain.ReleaseCalls:
+		c.FinishIdle()
+	case drain.EndSetups:
+		c.FinishAnswered()
+	case drain.Cut:
+		c.Close()
+	}
+}
+
+// abortCalls ends the pending set-ups of a connection.
+func (a *Agent) abortCalls(c *transport.Conn) {
+	for _, call := range a.pendingCalls {
+		if call.conn == c {
+			a.core.Abort(call.id, call)
+		}
+	}
+}
+
 // establishedCalls returns the number of calls that are established on each TCP connection.
 func (a *Agent) establishedCalls() map[*transport.Conn]int {
 	established := map[*transport.Conn]int{}
--- a/internal/protocol/sip/uas.go
+++ b/internal/protocol/sip/uas.go
@@ -78,6 +78,11 @@
 		refuseUnreadable(420, "Bad Extension", "Unsupported", m.Get("Require"))
 		return
 	}
+	if a.refusingOnConns && call.conn != nil {
+		a.core.CountRefused(setup.Class)
+		refuse(503, "Service Unavailable", "Retry-After", overloadRetryAfter, "Reason", reasonHeader(routing.CauseCongest))
+		return
+	}
 	t.respond(Respond(m, 100, "Trying"))
 	a.pendingCalls[t] = call
 	a.pendingRequests[requestKey(m)] = true
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -209,6 +209,42 @@
 	c.note(history.Event{Kind: history.Gone, Call: call.ID})
 }
 
+// Abort ends a set-up that has no final answer yet, because its caller's connection is about to be closed. The caller receives a
+// refusal if no server was tried, and else a failure. It does not affect a call of another caller with the same id.
+func (c *Core) Abort(id string, caller Caller) {
+	c.Post(func() {
+		call := c.calls[id]
+		if call == nil || call.established || call.caller != caller {
+			return
+		}
+		c.handle(control.Withdrawn{ID: call.ID})
+		c.endAttempt(call, control.Cancelled, true)
+		if call.attempts == 0 {
+			c.refuse(call, 0)
+		} else {
+			c.fail(call)
+		}
+	})
+}
+
+// refuse answers a call with a refusal. Its caller should not retry before wait has passed.
+func (c *Core) refuse(call *callState, wait control.Micros) {
+	c.close(call)
+	c.note(history.Event{Kind: history.Refused, Call: call.ID, Span: wait})
+	c.stats.Class(call.Class).Overload.Add(1)
+	c.observe(counting.Refused, &call.Setup, 0)
+	call.caller.Refuse(span(wait))
+}
+
+// fail answers a call with a failure.
+func (c *Core) fail(call *callState) {
+	c.close(call)
+	c.note(history.Event{Kind: history.Failed, Call: call.ID})
+	c.stats.Class(call.Class).Error.Add(1)
+	c.observe(counting.Failed, &call.Setup, 0)
+	call.caller.Fail()
+}
+
 // Hangup ends a call on behalf of its caller. An established call ends regardless of caller, but a set-up is given up only if
 // caller is its own; a nil caller is not known and gives up no set-up. done, if not nil, receives whether the call was known.
 func (c *Core) Hangup(id string, cause int, caller Caller, done func(known bool)) {
@@ -328,19 +364,11 @@
 		}
 	case control.Refuse:
 		if call != nil {
-			c.close(call)
-			c.note(history.Event{Kind: history.Refused, Call: call.ID, Span: action.Wait})
-			c.stats.Class(call.Class).Overload.Add(1)
-			c.observe(counting.Refused, &call.Setup, 0)
-			call.caller.Refuse(span(action.Wait))
+			c.refuse(call, action.Wait)
 		}
 	case control.Fail:
 		if call != nil {
-			c.close(call)
-			c.note(history.Event{Kind: history.Failed, Call: call.ID})
-			c.stats.Class(call.Class).Error.Add(1)
-			c.observe(counting.Failed, &call.Setup, 0)
-			call.caller.Fail()
+			c.fail(call)
 		}
 	case control.Cancel:
 		if call != nil && call.current != nil && call.current.number == action.Attempt {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -397,12 +397,15 @@
 // FinishIdle calls Finish if the connection is idle, that is, without an unanswered message and without unprocessed input.
 // Otherwise it has no effect and returns false. It is atomic with Hold: if a set-up arrives at the same time, either it is
 // held and the connection stays open, or Hold returns false.
-func (c *Conn) FinishIdle() bool {
-	idle := !c.unread() && c.markClosingIfIdle()
-	if idle {
+func (c *Conn) FinishIdle() bool { return !c.unread() && c.FinishAnswered() }
+
+// FinishAnswered is FinishIdle for a connection whose input may be lost: unprocessed input doesn't keep it open.
+func (c *Conn) FinishAnswered() bool {
+	answered := c.markClosingIfIdle()
+	if answered {
 		c.wakeWriter()
 	}
-	return idle
+	return answered
 }
 
 // markClosingIfIdle marks the connection for closing unless it has an unanswered message. It reports whether it did.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -252,7 +252,7 @@
 func (l *Listener) FinishIdle(force bool) (all bool) {
 	all = true
 	for _, c := range l.openConns() {
-		if !c.FinishIdle() && !(force && c.markClosingIfIdle()) {
+		if !c.FinishIdle() && !(force && c.FinishAnswered()) {
 			all = false
 		}
 	}
