Keep connections on which a set-up is being received while clients are sent away

Callers saw: a set-up written in pieces lost its connection 0.3 s after an evacuation or SIGTERM, before its last byte, and had no answer.

Cause: a connection counted as idle where no byte was unread; the first bytes of a message that the reader holds are read, and the time of the last use moves with whole messages alone. Now Conn.FinishIdle leaves a connection open whose message has begun; both fronts note that. The evacuation's later stages and the second half of a shutdown close it all the same, and a message has 2 s to be complete.

--- a/cmd/beammux/evacuation_test.go
+++ b/cmd/beammux/evacuation_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -242,3 +243,76 @@
 		})
 	}
 }
+
+// probe sends a health check.
+func (c *keptClient) probe() { fmt.Fprintln(c.conn, `{"msg":"probe","sid":"ffffffffffffffff","attrs":{},"code":0}`) }
+
+// Guards against idle connections that an evacuated gatekeeper holds because its client sends health checks on them.
+func TestEvacuationEndsConnectionsThatProbe(t *testing.T) {
+	g := startEvacuatedGatekeeper(t, 0)
+	var clients []*keptClient
+	for i, interval := range []time.Duration{20 * time.Millisecond, 90 * time.Millisecond, 250 * time.Millisecond} {
+		c := dialKeptClient(t, g.callersAddr, i)
+		clients = append(clients, c)
+		go c.repeat(interval, c.probe)
+	}
+	time.Sleep(300 * time.Millisecond)
+	evacuatedAt := g.operate(t, "/api/evacuate")
+	time.Sleep(time.Until(evacuatedAt.Add(evacuatedWithin)))
+	for _, c := range clients {
+		require.Empty(t, c.held(), "client %d", c.number)
+	}
+}
+
+// Guards against set-ups that are lost because their connection is closed while they are being received: during an evacuation, and in the
+// time after SIGTERM in which requests on open connections are still due an answer.
+func TestSetupsInPiecesAreAnsweredWhileClientsAreSentAway(t *testing.T) {
+	const pieces = 8
+	for _, test := range []struct {
+		name            string
+		begin, duration time.Duration // of the first byte after the evacuation or SIGTERM, and until the last byte
+		shutdown        bool
+	}{
+		{name: "evacuation, short", begin: 150 * time.Millisecond, duration: 450 * time.Millisecond},
+		{name: "evacuation, long", begin: 200 * time.Millisecond, duration: 1600 * time.Millisecond},
+		{name: "evacuation, refused", begin: 900 * time.Millisecond, duration: 1700 * time.Millisecond},
+		{name: "shutdown", begin: 20 * time.Millisecond, duration: 520 * time.Millisecond, shutdown: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := startEvacuatedGatekeeper(t, 50*time.Millisecond)
+			kept := dialKeptClient(t, g.callersAddr, 0)
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			if test.shutdown {
+				require.NoError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+			} else {
+				g.operate(t, "/api/evacuate")
+			}
+			time.Sleep(time.Until(began.Add(test.begin)))
+			clients := []*keptClient{dialKeptClient(t, g.callersAddr, 1)}
+			if test.begin < 300*time.Millisecond { // later, an idle connection is closed
+				clients = append(clients, kept)
+			}
+			var writing sync.WaitGroup
+			for _, c := range clients {
+				writing.Go(func() { c.send(2*time.Second, pieces, test.duration/(pieces-1)) })
+			}
+			writing.Wait()
+			for _, c := range clients {
+				require.Eventually(t, func() bool { return c.answered() == 1 }, time.Second, 10*time.Millisecond,
+					"client %d: the set-up whose last byte was sent %v after the start has no answer", c.number, test.begin+test.duration)
+			}
+		})
+	}
+}
+
+// answered returns the number of set-ups that have an answer.
+func (c *keptClient) answered() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.setups {
+		n += min(1, s.answers)
+	}
+	return n
+}
--- a/internal/protocol/jsonl/conn.go
+++ b/internal/protocol/jsonl/conn.go
@@ -171,6 +171,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.NoteMessageBegun()
 		if firstDeadline.IsZero() {
 			c.SetReadDeadline(time.Now().Add(messageTimeout))
 		}
--- a/internal/protocol/sip/flow.go
+++ b/internal/protocol/sip/flow.go
@@ -154,7 +154,7 @@
 		c.SetReadDeadline(time.Now().Add(firstMessageTimeout))
 	}
 	r := NewConnReader(c, messageTimeout)
-	r.scheduler = a.Scheduler
+	r.scheduler, r.begun = a.Scheduler, c.NoteMessageBegun
 	for {
 		m, err := r.Next()
 		if err == nil {
--- a/internal/protocol/sip/message.go
+++ b/internal/protocol/sip/message.go
@@ -237,6 +237,7 @@
 	conn        readDeadliner // nil if reads have no deadline
 	timeout     time.Duration
 	scheduler   *transport.Scheduler // of the parsing; nil: at once
+	begun       func()               // called when the current message has begun and is not complete; nil: not called
 	deadlineSet bool                 // the current message has a read deadline
 	graceUsed   bool                 // the current message's deadline has been extended by readGrace
 }
@@ -266,6 +267,9 @@
 	if !r.deadlineSet {
 		r.deadlineSet = true
 		r.conn.SetReadDeadline(time.Now().Add(r.timeout))
+		if r.begun != nil {
+			r.begun()
+		}
 	}
 	b, err := r.in.Peek(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) && !r.graceUsed {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -69,6 +69,7 @@
 	messageReceived atomic.Bool  // a whole message has been received
 	byteReceived    atomic.Bool  // a byte has been received
 	peerClosed      atomic.Bool  // a read has found that the other side closed or reset the connection
+	receiving       atomic.Bool  // a message has begun and is not complete
 	unprocessed     atomic.Bool  // the last Read returned bytes, and its owner has not called Read again
 	requests        *MemoryAccount
 	output          *MemoryAccount // for the packets of queue
@@ -191,8 +192,12 @@
 	return raw
 }
 
+// NoteMessageBegun records that a message has begun, so that the connection is not idle until NoteMessage.
+func (c *Conn) NoteMessageBegun() { c.receiving.Store(true) }
+
 // NoteMessage records that a whole message was received.
 func (c *Conn) NoteMessage() {
+	c.receiving.Store(false)
 	c.messageReceived.Store(true)
 	c.lastUsed.Store(time.Now().UnixNano())
 }
@@ -394,12 +399,14 @@
 	c.wakeWriter()
 }
 
-// FinishIdle calls Finish if the connection is idle, that is, without an unanswered message and without unprocessed input.
+// FinishIdle calls Finish if the connection is idle, that is, without an unanswered message, without unprocessed input, and
+// without a message that is being received.
 // Otherwise it has no effect and returns false. It is atomic with Hold: if a set-up arrives at the same time, either it is
 // held and the connection stays open, or Hold returns false.
-func (c *Conn) FinishIdle() bool { return !c.unread() && c.FinishAnswered() }
+func (c *Conn) FinishIdle() bool { return !c.unread() && !c.receiving.Load() && c.FinishAnswered() }
 
-// FinishAnswered is FinishIdle for a connection whose input may be lost: unprocessed input doesn't keep it open.
+// FinishAnswered is FinishIdle for a connection whose input may be lost: neither unprocessed input nor a message that is being
+// received keeps it open.
 func (c *Conn) FinishAnswered() bool {
 	answered := c.markClosingIfIdle()
 	if answered {
