--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -1,12 +1,17 @@
 package node
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"beammux/internal/config"
+	"beammux/internal/protocol/sip"
 	"beammux/internal/protocol/sip/siptest"
 )
 
@@ -32,3 +37,54 @@
 	require.False(t, shows(`proxy_evacuation_decisions_total{decision="close"} 0`)())
 	require.True(t, shows(`proxy_evacuation_overdue_total 0`)())
 }
+
+// Terms of the operators and of the protocol for an evacuation.
+const (
+	evacuatedWithin = 4*time.Second + 50*time.Millisecond // from the call until no connection is held
+	crossing        = 50 * time.Millisecond               // a set-up that crosses the close of its connection is sent again
+)
+
+// Guards against SIP connections over TCP that an evacuated gatekeeper holds past their time because INVITEs on them overlap.
+func TestEvacuationEndsSIPConnectionsInUse(t *testing.T) {
+	n := testNode(t, &config.Deploy{SIPTCP: "127.0.0.1:0", DefaultClass: "menu-view"})
+	withServer(t, n, time.Hour)
+	client := siptest.New(t, nil)
+	conn, err := net.Dial("tcp", n.agent.Addr("TCP"))
+	require.NoError(t, err)
+	defer conn.Close()
+	final := make(chan map[string]int, 1) // final responses by Call-ID, once the connection has ended
+	go func() {
+		responses := map[string]int{}
+		for in := sip.NewReader(bufio.NewReader(conn)); ; {
+			m, err := in.Next()
+			if err != nil {
+				final <- responses
+				return
+			}
+			if m.Status >= 200 {
+				responses[m.Get("Call-ID")]++
+			}
+		}
+	}()
+	var sent []string
+	sentAt := map[string]time.Time{}
+	var endedAt time.Time
+	var responses map[string]int
+	n.Evacuate()
+	evacuatedAt := time.Now()
+	for i := 0; responses == nil; i++ {
+		id := fmt.Sprintf("overlapping-%d", i)
+		sent, sentAt[id] = append(sent, id), time.Now()
+		conn.Write(client.Invite("TCP", id, "1", "").Set("Expires", "3").Append(nil))
+		select {
+		case responses = <-final:
+			endedAt = time.Now()
+		case <-time.After(70 * time.Millisecond):
+		}
+		require.Less(t, time.Since(evacuatedAt), evacuatedWithin, "the connection is open, %d INVITEs sent", len(sent))
+	}
+	for _, id := range sent {
+		require.True(t, responses[id] == 1 || responses[id] == 0 && endedAt.Sub(sentAt[id]) <= crossing,
+			"%s: %d final responses, the connection ended %v later", id, responses[id], endedAt.Sub(sentAt[id]))
+	}
+}
