Soak: evacuations, clients that keep using open connections, signals in series, busy trials

New in lab soak: the group operators (evacuate and rejoin, also in a series), callers that use open connections until these end, SIGHUP and SIGTERM in a series behind SIGTERM, a third of the trials with 85 to 114% of the capacity.

--- a/internal/fleetcheck/fleetcheck.go
+++ b/internal/fleetcheck/fleetcheck.go
@@ -58,12 +58,17 @@
 	ServerSetup                         // a set-up of Call arrived whole at server Process, from gatekeeper Peer
 	Listed                              // the list of servers names Process in state What: up, draining or removed
 	CallersLeft                         // the trial is over: all callers close their connections
+	Evacuated                           // Process has answered an evacuate request of the operators with yes
+	Rejoined                            // Process has answered a rejoin request of the operators with yes
+	ClientConnected                     // the callers have opened their connection to Process
+	ClientDisconnected                  // the callers' connection to Process has ended
 	kindCount
 )
 
 var kindNames = [kindCount]string{"", "ready", "asked", "stopped", "crashed", "paused", "woken", "troubled", "healed", "logged", "tried",
 	"stood", "refused", "failed", "second", "expired", "broken", "unsent", "given", "fault from", "fault to", "viewed", "heard", "limited", "moved", "judged", "late", "delayed", "changed",
-	"gave up", "released", "server released", "server lost", "server setup", "listed", "callers left"}
+	"gave up", "released", "server released", "server lost", "server setup", "listed", "callers left",
+	"evacuated", "rejoined", "connected", "disconnected"}
 
 // String returns the name of the kind as written to event files.
 func (k Kind) String() string {
--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -95,7 +95,8 @@
 	if limit != nil {
 		invariants = append(invariants, limit)
 	}
-	invariants = append(invariants, fleetcheck.NewEstablishedCalls(script.Front), fleetcheck.NewDelistedServers(script.Bus))
+	invariants = append(invariants, fleetcheck.NewEstablishedCalls(script.Front), fleetcheck.NewDelistedServers(script.Bus),
+		fleetcheck.NewEvacuations(script.Front))
 	checker := fleetcheck.New(script.Front, capacities, invariants...)
 	events, err := readEvents(dir, s)
 	if err != nil {
--- a/internal/fleetlab/clients.go
+++ b/internal/fleetlab/clients.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// signalSeries sends further signals to a gatekeeper that is shutting down. They must change nothing.
+func signalSeries(proc *process) {
+	for _, further := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		time.Sleep(hangUpInterval)
+		if proc.hasExited() {
+			return
+		}
+		proc.signal(further)
+	}
+}
+
 // hangUp sends SIGHUP to gatekeepers several times in a row.
 func (f *fleet) hangUp(fault script.Fault) func(context.Context) {
 	var sending sync.WaitGroup
--- a/internal/fleetlab/faults.go
+++ b/internal/fleetlab/faults.go
@@ -71,6 +71,8 @@
 	switch fault.Kind {
 	case "kill", "term", "pause":
 		return f.signalProcesses(fault)
+	case "evacuate":
+		return f.evacuate(fault)
 	case "lose", "slow", "drain", "hang", "ill", "spoil", "engaged":
 		return f.disturbServers(fault)
 	case "vanish":
@@ -121,6 +123,9 @@
 			case "term":
 				f.runs.record(fleetcheck.StopRequested, line{Process: name, What: "SIGTERM"})
 				proc.signal(syscall.SIGTERM)
+				if fault.Series {
+					go signalSeries(proc)
+				}
 				if fault.KillAfter > 0 {
 					time.AfterFunc(time.Duration(fault.KillAfter), func() { f.killLate(proc) })
 				}
--- a/internal/fleetlab/gatekeepers.go
+++ b/internal/fleetlab/gatekeepers.go
@@ -75,6 +75,9 @@
 	f.mu.Unlock()
 	proc.samplePeakMemory()
 	f.runs.record(fleetcheck.Ready, line{Process: g.name, What: "pid " + strconv.Itoa(proc.pid())})
+	if f.callers != nil {
+		f.callers.SetRouted(g.index, true)
+	}
 	return nil
 }
 
--- a/internal/fleetlab/load.go
+++ b/internal/fleetlab/load.go
@@ -43,10 +43,10 @@
 	}
 	kinds := map[lab.ObservationKind]fleetcheck.Kind{lab.Tried: fleetcheck.Tried, lab.Established: fleetcheck.Established, lab.Refused: fleetcheck.Refused,
 		lab.Failed: fleetcheck.Failed, lab.SecondAnswer: fleetcheck.ExtraAnswer, lab.Unanswered: fleetcheck.Expired,
-		lab.Broken: fleetcheck.Broken, lab.GaveUp: fleetcheck.GaveUp, lab.Ended: fleetcheck.Released, lab.Unsent: fleetcheck.Unsent, lab.LateAnswer: fleetcheck.AnsweredLate}
+		lab.Connected: fleetcheck.ClientConnected, lab.Disconnected: fleetcheck.ClientDisconnected, lab.Broken: fleetcheck.Broken, lab.GaveUp: fleetcheck.GaveUp, lab.Ended: fleetcheck.Released, lab.Unsent: fleetcheck.Unsent, lab.LateAnswer: fleetcheck.AnsweredLate}
 	return lab.Load{Seed: f.s.Seed, Gatekeepers: f.s.Gatekeepers, Servers: f.s.Servers, Length: time.Duration(f.s.Length),
-		GiveUpShare: f.s.GiveUp,
-		PerS:        f.s.Load * lab.PlatformWork().Capacity() * float64(f.s.Servers),
+		GiveUpShare: f.s.GiveUp, KeepUsing: f.s.KeepUsing,
+		PerS: f.s.Load * lab.PlatformWork().Capacity() * float64(f.s.Servers),
 		FirstTarget: func(rng *rand.Rand) (home, dest int) {
 			z := zones[rng.IntN(len(zones))]
 			if indexes := f.homeIndexes(); indexes != nil {
--- a/internal/fleetlab/script/draw.go
+++ b/internal/fleetlab/script/draw.go
@@ -106,7 +106,7 @@
 		if f.Kind == "kill" && rng.IntN(4) == 0 {
 			f.Target = "gatekeepers"
 		}
-	case "pause":
+	case "evacuate", "pause":
 		f.Target = gatekeeper()
 	case "reload":
 		f.Target, f.Factor = "gatekeepers", float64(whole(4, 9))/10
--- a/internal/fleetlab/script/script.go
+++ b/internal/fleetlab/script/script.go
@@ -61,14 +61,15 @@
 	Gatekeepers int      `yaml:"gatekeepers"`
 	Servers     int      `yaml:"servers"`
 	Zones       int      `yaml:"zones"`
-	Members     int      `yaml:"store_members"`      // number of gatekeepers, the first ones, that share a store; each other one has its own
-	Load        float64  `yaml:"load"`               // rate of first calls, as a multiple of the servers' total capacity
-	Length      Duration `yaml:"length"`             // time during which callers make calls
-	Fleet       bool     `yaml:"fleet,omitempty"`    // gatekeepers take part in fleet gossip
-	Limits      *Limits  `yaml:"limits,omitempty"`   // fleet-wide limit on all calls
-	Verdicts    bool     `yaml:"verdicts,omitempty"` // fleet verdicts on servers are enabled
-	GiveUp      float64  `yaml:"give_up,omitempty"`  // part of the attempts that callers cancel soon after they were sent
-	Homes       []Home   `yaml:"homes,omitempty"`    // gatekeepers that receive first calls, by time; empty: all
+	Members     int      `yaml:"store_members"`        // number of gatekeepers, the first ones, that share a store; each other one has its own
+	Load        float64  `yaml:"load"`                 // rate of first calls, as a multiple of the servers' total capacity
+	Length      Duration `yaml:"length"`               // time during which callers make calls
+	Fleet       bool     `yaml:"fleet,omitempty"`      // gatekeepers take part in fleet gossip
+	Limits      *Limits  `yaml:"limits,omitempty"`     // fleet-wide limit on all calls
+	Verdicts    bool     `yaml:"verdicts,omitempty"`   // fleet verdicts on servers are enabled
+	GiveUp      float64  `yaml:"give_up,omitempty"`    // part of the attempts that callers cancel soon after they were sent
+	KeepUsing   bool     `yaml:"keep_using,omitempty"` // callers use open connections whatever their health checks say
+	Homes       []Home   `yaml:"homes,omitempty"`      // gatekeepers that receive first calls, by time; empty: all
 	Faults      []Fault  `yaml:"faults"`
 }
 
@@ -106,6 +107,7 @@
 	Listed    Duration `yaml:"listed,omitempty"`      // from the start of a server at the address of a vanished one until the list names it
 	How       string   `yaml:"how,omitempty"`         // one of vanishings: what new connections to a vanished server meet
 	KillAfter Duration `yaml:"kill_after,omitempty"`  // from SIGTERM to SIGKILL; 0: stopTimeout of the laboratory
+	Series    bool     `yaml:"series,omitempty"`      // further signals or operators' requests follow the first one closely
 	Line      int      `yaml:"-"`                     // in the file, counted from 1
 }
 
@@ -138,7 +140,8 @@
 
 var kinds = map[string]kindSpec{
 	"kill":      {class: onGatekeepers, optional: []string{"state"}},
-	"term":      {class: onGatekeepers, optional: []string{"state", "kill_after"}},
+	"term":      {class: onGatekeepers, optional: []string{"state", "kill_after", "series"}},
+	"evacuate":  {class: onGatekeepers, optional: []string{"series"}, explicitOnly: true},
 	"pause":     {class: onGatekeepers},
 	"reload":    {class: onGatekeepers, required: []string{"factor"}, explicitOnly: true},
 	"lose":      {class: onServers},
@@ -296,9 +299,18 @@
 	return Duration(d)
 }
 
+// boolean parses true or false.
+func (p *parser) boolean(key string, v *yaml.Node) bool {
+	value, err := strconv.ParseBool(v.Value)
+	if err != nil {
+		p.addFault(v, key, fmt.Sprintf("%q is neither true nor false", v.Value))
+	}
+	return value
+}
+
 // script parses the root mapping.
 func (p *parser) script(n *yaml.Node, s *Script) {
-	known := []string{"version", "seed", "gatekeepers", "servers", "zones", "store_members", "load", "length", "fleet", "limits", "verdicts", "give_up", "homes", "faults"}
+	known := []string{"version", "seed", "gatekeepers", "servers", "zones", "store_members", "load", "length", "fleet", "limits", "verdicts", "give_up", "keep_using", "homes", "faults"}
 	const requiredCount = 8 // the first requiredCount keys must be present
 	var faults, homes *yaml.Node
 	values := p.mapping(n, "", known, func(key string, v *yaml.Node) {
@@ -325,15 +337,11 @@
 		case "length":
 			s.Length = p.duration(key, v, MaxLength)
 		case "verdicts":
-			enabled, err := strconv.ParseBool(v.Value)
-			if s.Verdicts = enabled; err != nil {
-				p.addFault(v, key, fmt.Sprintf("%q is neither true nor false", v.Value))
-			}
+			s.Verdicts = p.boolean(key, v)
 		case "fleet":
-			enabled, err := strconv.ParseBool(v.Value)
-			if s.Fleet = enabled; err != nil {
-				p.addFault(v, key, fmt.Sprintf("%q is neither true nor false", v.Value))
-			}
+			s.Fleet = p.boolean(key, v)
+		case "keep_using":
+			s.KeepUsing = p.boolean(key, v)
 		case "limits":
 			s.Limits = p.limits(v, key)
 		case "give_up":
@@ -450,7 +458,7 @@
 func (p *parser) fault(n *yaml.Node, path string, s *Script, valid bool) Fault {
 	f := Fault{Line: n.Line}
 	known := []string{"at", "for", "fault", "target", "from", "to", "state", "delay", "jitter", "part", "slow", "bytes_per_s", "bytes", "factor", "number",
-		"removed", "listed", "how", "kill_after"}
+		"removed", "listed", "how", "kill_after", "series"}
 	values := p.mapping(n, path, known, func(key string, v *yaml.Node) {
 		switch key[strings.LastIndexByte(key, '.')+1:] {
 		case "at":
@@ -475,6 +483,8 @@
 			f.Listed = p.duration(key, v, MaxLength)
 		case "kill_after":
 			f.KillAfter = p.duration(key, v, 30*time.Second)
+		case "series":
+			f.Series = p.boolean(key, v)
 		case "how":
 			if f.How = v.Value; !slices.Contains(vanishings, f.How) {
 				p.addFault(v, key, fmt.Sprintf("%q is none of %s%s", v.Value, strings.Join(vanishings, ", "), jsonfile.Hint(v.Value, vanishings)))
--- a/internal/fleetlab/soak/draw.go
+++ b/internal/fleetlab/soak/draw.go
@@ -15,35 +15,40 @@
 
 // Bounds of a trial.
 const (
-	MinLength     = 20 * time.Second
-	MaxLength     = 60 * time.Second
-	firstFaultAt  = 2 * time.Second
-	quietTail     = 9500 * time.Millisecond // after the last fault: a release is due within 8 s
-	minGap        = 400 * time.Millisecond  // between the starts of two faults
-	maxGap        = 2 * time.Second
-	maxAtOnce     = 3                       // faults
-	earliestKill  = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s
-	startTime     = time.Second             // for a gatekeeper to be started again
-	giveUpShare   = 0.05                    // of the attempts, in a trial whose callers give up early
-	minPiece      = 100                     // bytes of a message that passes in pieces
-	maxPiece      = 400
-	maxPieceGapMs = 3
-	trialStream   = 0x736f616b             // random stream that sets trials apart from other uses of the seed
-	minListed     = 210 * time.Millisecond // from the start of a server until the list names it
-	maxListed     = 6 * time.Second
-	removalAfter  = 14 * time.Second // from a silent loss until the list names the server as removed, at most
-	minServers    = 3
-	maxServers    = 6
-	minMembers    = 2
-	maxMembers    = 6
-	halfOfTrials  = 0.5
-	minLoad       = 30 // percent of the servers' capacity
-	maxLoadSpread = 50
+	MinLength      = 20 * time.Second
+	MaxLength      = 60 * time.Second
+	firstFaultAt   = 2 * time.Second
+	quietTail      = 9500 * time.Millisecond // after the last fault: a release is due within 8 s
+	minGap         = 400 * time.Millisecond  // between the starts of two faults
+	maxGap         = 2 * time.Second
+	maxAtOnce      = 3                       // faults
+	earliestKill   = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s
+	startTime      = time.Second             // for a gatekeeper to be started again
+	giveUpShare    = 0.05                    // of the attempts, in a trial whose callers give up early
+	minPiece       = 100                     // bytes of a message that passes in pieces
+	maxPiece       = 400
+	maxPieceGapMs  = 3
+	trialStream    = 0x736f616b             // random stream that sets trials apart from other uses of the seed
+	minListed      = 210 * time.Millisecond // from the start of a server until the list names it
+	maxListed      = 6 * time.Second
+	removalAfter   = 14 * time.Second // from a silent loss until the list names the server as removed, at most
+	minServers     = 3
+	maxServers     = 6
+	minMembers     = 2
+	maxMembers     = 6
+	halfOfTrials   = 0.5
+	minLoad        = 30 // percent of the servers' capacity
+	maxLoadSpread  = 50
+	minBusyLoad    = 85 // percent, in a busy trial
+	maxBusySpread  = 30
+	busyTrials     = 0.33                    // share of the trials
+	longEvacuation = 4500 * time.Millisecond // past the time by which no client may be connected
 )
 
 // groups holds the kinds of faults by the name of their group.
 var groups = map[string][]string{
 	"shutdowns": {"term", "term", "kill", "pause", "hup"},
+	"operators": {"evacuate"},
 	"replaced":  {"replace"},
 	"servers":   {"vanish", "vanish", "hang", "lose", "remove", "slow"},
 	"discovery": {"bus-silent", "bus-refuses", "bus-hangs", "bus-resets", "drain", "remove"},
@@ -88,7 +93,8 @@
 	d := &drawer{rng: rand.New(rand.NewPCG(seed, trialStream))}
 	gatekeepers := d.between(minMembers, maxMembers)
 	d.s = &script.Script{Version: script.Version, Seed: seed, Gatekeepers: gatekeepers, Servers: d.between(minServers, maxServers), Zones: 1,
-		Members: min(3, gatekeepers), Load: float64(minLoad+d.rng.IntN(maxLoadSpread)) / 100, Length: script.Duration(length)}
+		Members: min(3, gatekeepers), Load: d.load(), Length: script.Duration(length)}
+	d.s.KeepUsing = true
 	if d.rng.Float64() < halfOfTrials {
 		d.s.GiveUp = giveUpShare
 	}
@@ -103,6 +109,14 @@
 	return d.s
 }
 
+// load returns the rate of first calls, as a part of the servers' capacity.
+func (d *drawer) load() float64 {
+	if d.rng.Float64() < busyTrials {
+		return float64(minBusyLoad+d.rng.IntN(maxBusySpread)) / 100
+	}
+	return float64(minLoad+d.rng.IntN(maxLoadSpread)) / 100
+}
+
 func (d *drawer) between(low, high int) int { return low + d.rng.IntN(high-low+1) }
 
 func (d *drawer) span(low, high time.Duration) time.Duration {
@@ -130,7 +144,14 @@
 	switch name {
 	case "term":
 		f.Target, f.State, f.KillAfter = gatekeeper, "same", script.Duration(earliestKill)
+		f.Series = d.rng.IntN(2) == 0
 		low, high = earliestKill+200*time.Millisecond, earliestKill+startTime
+	case "evacuate":
+		f.Target, f.Series = gatekeeper, d.rng.IntN(3) == 0
+		if d.rng.IntN(3) > 0 {
+			low = longEvacuation
+		}
+		high = 8 * time.Second
 	case "kill":
 		f.Target, f.State = gatekeeper, "same"
 		high = startTime
--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -32,12 +32,14 @@
 	GaveUp                                    // the caller cancelled the set-up before its answer
 	ServerReleased                            // the server wrote the release of an established call
 	ServerHeardRelease                        // the server read the release of an established call
+	Connected                                 // the callers opened a connection to a gatekeeper
+	Disconnected                              // a gatekeeper ended the callers' connection to it
 	observationKinds
 )
 
 var observationNames = [observationKinds]string{"tried", "unsent", "stood", "refused", "failed", "second answer", "unanswered", "broken", "ended",
 	"setup", "answered", "full", "given up", "cut", "late answer",
-	"gave up", "released", "heard release"}
+	"gave up", "released", "heard release", "connected", "disconnected"}
 
 // String returns the name of the kind in the record of a run.
 func (k ObservationKind) String() string { return observationNames[k] }
@@ -70,6 +72,7 @@
 	Length      time.Duration
 	FirstTarget func(*rand.Rand) (home, dest int) // chooses the gatekeeper and the first-choice cell of a first call
 	RetryTarget func(*rand.Rand) int              // chooses the gatekeeper of a retry, -1 for the next one
+	KeepUsing   bool                              // callers use an open connection whatever its later health checks say
 	GiveUpShare float64                           // fraction of attempts that the caller cancels within maxGiveUpDelay
 	Key         func(*rand.Rand) string           // chooses the number of a first call, "" for a random one; nil: always random
 	Observer    func(Observation)                 // receives each observation; runs with a lock held and must not call Callers
@@ -83,6 +86,7 @@
 func NewCallers(o Load) *Callers {
 	load := newWorkload(Overload{Seed: o.Seed, Gatekeepers: o.Gatekeepers, Servers: o.Servers, Length: o.Length,
 		Load: o.PerS / work.Capacity() / float64(o.Servers)})
+	load.keepUsing = o.KeepUsing
 	load.retryTarget, load.retryRand = o.RetryTarget, rand.New(rand.NewPCG(o.Seed, 3))
 	load.key, load.giveUpShare, load.giveUpRand = o.Key, o.GiveUpShare, rand.New(rand.NewPCG(o.Seed, 4))
 	load.firstTarget, load.observer, load.finalAnswers = o.FirstTarget, o.Observer, map[string]ObservationKind{}
@@ -104,9 +108,11 @@
 // be called once for each gatekeeper.
 func (c *Callers) MaintainConnection(ctx context.Context, i int, addr string) {
 	for ctx.Err() == nil {
-		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
-		if err == nil {
-			c.useConnection(ctx, i, conn)
+		if c.isRouted(i) {
+			conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
+			if err == nil {
+				c.useConnection(ctx, i, conn)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -115,6 +121,22 @@
 	}
 }
 
+// SetRouted sets whether the front opens connections to gatekeeper i. An open connection stays.
+func (c *Callers) SetRouted(i int, routed bool) {
+	target := c.workload.conns[i]
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.unrouted = !routed
+}
+
+// isRouted reports whether the front opens connections to gatekeeper i.
+func (c *Callers) isRouted(i int) bool {
+	target := c.workload.conns[i]
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return !target.unrouted
+}
+
 // useConnection runs health checks and processes messages on a connection until it ends.
 func (c *Callers) useConnection(ctx context.Context, i int, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -124,6 +146,7 @@
 	target.mu.Lock()
 	target.conn, target.healthy, target.lastPassed = conn, false, time.Now()
 	target.mu.Unlock()
+	c.workload.observeConnection(Connected, i)
 	go func() {
 		for tick := time.NewTicker(healthCheckInterval); ; {
 			m := jsonl.Message{Type: "probe", ID: healthCheckID, Attrs: map[string]string{}}
@@ -142,11 +165,13 @@
 		}
 		target.mu.Lock()
 		defer target.mu.Unlock()
-		if target.healthy = m.Code == 1; target.healthy {
+		target.healthy = m.Code == 1 || target.healthy && c.workload.keepUsing
+		if target.healthy {
 			target.lastPassed = time.Now()
 		}
 		return true
 	})
+	c.workload.observeConnection(Disconnected, i)
 	c.workload.connectionLost(i, conn, ctx.Err() == nil)
 }
 
@@ -189,6 +214,13 @@
 // Outcome returns the results so far. servers are the stand-ins whose counts it includes.
 func (c *Callers) Outcome(servers []*Server) *Outcome { return c.workload.result(servers) }
 
+// observeConnection reports that the connection to a gatekeeper was opened or has ended.
+func (w *workload) observeConnection(kind ObservationKind, gatekeeper int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.observe(Observation{Kind: kind, Gatekeeper: gatekeeper})
+}
+
 // connectionLost removes a closed connection. Unanswered set-ups on it are retried if retry is set, which it is not if the
 // callers closed the connection themselves.
 func (w *workload) connectionLost(i int, c net.Conn, retry bool) {
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -169,6 +169,7 @@
 	retryTarget  func(*rand.Rand) int              // chooses the gatekeeper of a retry, -1 for the next one; nil: always the next
 	key          func(*rand.Rand) string           // chooses the number of a first call, "" for a random one; nil: always random
 	retryRand    *rand.Rand                        // random source of retryTarget
+	keepUsing    bool                              // see Load.KeepUsing
 	giveUpShare  float64                           // fraction of attempts that are cancelled
 	giveUpRand   *rand.Rand                        // random source of giveUpShare; nil: no caller gives up
 	observer     func(Observation)                 // receives observations; may be nil
@@ -202,8 +203,9 @@
 type gatekeeperConn struct {
 	mu         sync.Mutex
 	conn       net.Conn
-	healthy    bool      // the last health check passed
-	lastPassed time.Time // time of the last check that passed
+	healthy    bool      // the last health check passed, or one did and the connection is kept in use
+	lastPassed time.Time // time of the last check that passed, or was answered while the connection is kept in use
+	unrouted   bool      // the front opens no connection
 }
 
 // scheduledAction is an action that runs at a time after the start of a run.
