End set-ups that still wait before a process that shuts down may be killed

Callers saw: with a server that hangs, a set-up from before SIGTERM with more time left than the shutdown had no answer, and the process was killed over it.

Evidence: TestShutdownEndsSetupsFromBeforeIt (9 s left, sent 0.4 and 0.03 s before SIGTERM, SIGKILL 3.7 s after it) failed: killed, no answers. Now Core.AbortAll ends what waits 0.2 s before SIGKILL may come, and the last waits keep 0.1 s free of it.

--- a/cmd/beammux/shutdown_test.go
+++ b/cmd/beammux/shutdown_test.go
@@ -130,3 +130,23 @@
 		})
 	}
 }
+
+// Guards against a process that is killed in its shutdown because a set-up from before SIGTERM still has time left: its caller must have a
+// final answer, and the process must have ended, as early as the protocol allows SIGKILL.
+func TestShutdownEndsSetupsFromBeforeIt(t *testing.T) {
+	g := startEvacuatedGatekeeper(t, time.Hour)
+	for _, sentBefore := range []time.Duration{400 * time.Millisecond, 30 * time.Millisecond} {
+		c := dialKeptClient(t, g.callersAddr, int(sentBefore))
+		defer func() {
+			require.Equal(t, 1, c.answered(), "the set-up sent %v before SIGTERM", sentBefore)
+		}()
+		c.send(9*time.Second, 1, 0)
+		time.Sleep(sentBefore)
+	}
+	stop := time.Now()
+	require.NoError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+	kill := time.AfterFunc(countedDeadline+killAfter, func() { g.cmd.Process.Kill() })
+	defer kill.Stop()
+	require.NoError(t, g.cmd.Wait(), "it was killed before it had ended")
+	t.Logf("ended %v after SIGTERM", time.Since(stop).Round(time.Millisecond))
+}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -39,6 +39,7 @@
 // Drain answers all calls that were accepted, then stops the gatekeeper.
 func (n *Node) Drain() {
 	n.log.Info("draining: answering the accepted calls")
+	killAt := time.Now().Add(settleAfter + n.restartTime())
 	n.core.Note(history.Event{Kind: history.Draining})
 	n.startDrain((*drain.Drain).Shutdown)
 	n.publishState(fleetview.Leaving)
@@ -50,9 +51,9 @@
 	time.Sleep(settleAfter - acceptFor)
 	wait := n.beginSettling()
 	wait()
-	n.listener.Finish(flushTimeout)
+	n.listener.Finish(min(flushTimeout, time.Until(killAt)-exitMargin))
 	if n.agent != nil {
-		n.agent.Close()
+		n.agent.CloseWithin(min(flushTimeout, time.Until(killAt)-exitMargin))
 	}
 	n.stop()
 	n.closeFleetFeatures()
@@ -70,11 +71,12 @@
 	n.log.Info("drained")
 }
 
-// beginSettling bounds the time of all answers from now on, and returns a function that waits until no answer is pending and
+// beginSettling bounds the time of all answers, and returns a function that waits until no answer is pending and
 // no connection is left on which a set-up could still arrive. A set-up that is read after the last check for pending answers
 // is on a connection that stays open until it is answered too. Callers that continue to send on open connections are served
 // meanwhile, and receive their answers before the process may be killed. They do not delay the end: after half of the
-// remaining time new set-ups are refused, and unread bytes no longer keep a connection open.
+// remaining time new set-ups are refused, and unread bytes no longer keep a connection open; killMargin before its end all
+// set-ups are ended that still wait, however long their callers would.
 func (n *Node) beginSettling() (wait func()) {
 	remaining := n.restartTime()
 	n.core.AnswerWithin(max(0, remaining-killMargin))
@@ -86,8 +88,13 @@
 			n.agent.TurnAway()
 		}
 	})
+	endTimer := time.AfterFunc(max(0, remaining-killMargin), func() {
+		n.log.Info("draining: set-ups that still wait are ended")
+		n.core.AbortAll()
+	})
 	return func() {
 		defer refuseTimer.Stop()
+		defer endTimer.Stop()
 		for {
 			drained := make(chan struct{})
 			n.core.OnDrained(func() { close(drained) })
--- a/internal/protocol/sip/agent.go
+++ b/internal/protocol/sip/agent.go
@@ -164,15 +164,18 @@
 }
 
 // Close closes the agent's sockets and stops its actor after all work posted before has been sent.
-func (a *Agent) Close() { a.closeOnce.Do(a.close) }
+func (a *Agent) Close() { a.CloseWithin(a.Timers.T1) }
 
-func (a *Agent) close() {
+// CloseWithin is Close with a limit on the time for clients to close their connections too.
+func (a *Agent) CloseWithin(limit time.Duration) { a.closeOnce.Do(func() { a.close(limit) }) }
+
+func (a *Agent) close(limit time.Duration) {
 	flushed := make(chan struct{})
 	a.Post(func() { close(flushed) })
 	<-flushed
 	if a.tcp != nil {
 		a.tcp.Close()
-		a.tcp.Finish(a.Timers.T1)
+		a.tcp.Finish(limit)
 	}
 	if a.udp != nil {
 		a.udp.close()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -213,20 +215,34 @@
 // refusal if no server was tried, and else a failure. It does not affect a call of another caller with the same id.
 func (c *Core) Abort(id string, caller Caller) {
 	c.Post(func() {
-		call := c.calls[id]
-		if call == nil || call.established || call.caller != caller {
-			return
+		if call := c.calls[id]; call != nil && !call.established && call.caller == caller {
+			c.abort(call)
 		}
-		c.handle(control.Withdrawn{ID: call.ID})
-		c.endAttempt(call, control.Cancelled, true)
-		if call.attempts == 0 {
-			c.refuse(call, 0)
-		} else {
-			c.fail(call)
+	})
+}
+
+// AbortAll ends all set-ups that have no final answer yet, as Abort does, because the process is about to end.
+func (c *Core) AbortAll() {
+	c.Post(func() {
+		for _, call := range slices.Collect(maps.Values(c.calls)) {
+			if !call.established {
+				c.abort(call)
+			}
 		}
 	})
 }
 
+// abort ends the set-up of a call that has no final answer yet.
+func (c *Core) abort(call *callState) {
+	c.handle(control.Withdrawn{ID: call.ID})
+	c.endAttempt(call, control.Cancelled, true)
+	if call.attempts == 0 {
+		c.refuse(call, 0)
+	} else {
+		c.fail(call)
+	}
+}
+
 // refuse answers a call with a refusal. Its caller should not retry before wait has passed.
 func (c *Core) refuse(call *callState, wait control.Micros) {
 	c.close(call)
