--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	flushTimeout   = 300 * time.Millisecond // bounds the writing of queued output at the end
 	settleInterval = 5 * time.Millisecond   // between checks for connections that are still in use
 	killMargin     = 200 * time.Millisecond // answers are due this long before the process may be killed
+	abortDelay     = 30 * time.Millisecond  // after the time at which answers are due, set-ups that have none are ended
 	exitMargin     = 100 * time.Millisecond // the last parts are stopped this long before the process may be killed
 )
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -75,7 +75,7 @@
 // no connection is left on which a set-up could still arrive. A set-up that is read after the last check for pending answers
 // is on a connection that stays open until it is answered too. Callers that continue to send on open connections are served
 // meanwhile, and receive their answers before the process may be killed. They do not delay the end: after half of the
-// remaining time new set-ups are refused, and unread bytes no longer keep a connection open; killMargin before its end all
+// remaining time new set-ups are refused, and unread bytes no longer keep a connection open; at its end, less killMargin, all
 // set-ups are ended that still wait, however long their callers would.
 func (n *Node) beginSettling() (wait func()) {
 	remaining := n.restartTime()
@@ -88,7 +88,7 @@
 			n.agent.TurnAway()
 		}
 	})
-	endTimer := time.AfterFunc(max(0, remaining-killMargin), func() {
+	endTimer := time.AfterFunc(max(0, remaining-killMargin)+abortDelay, func() {
 		n.log.Info("draining: set-ups that still wait are ended")
 		n.core.AbortAll()
 	})
