--- a/internal/fleetcheck/established.go
+++ b/internal/fleetcheck/established.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 
 	"beammux/control"
 )
@@ -166,12 +164,5 @@
 	if s.down.during(call.gatekeeper, from, due) || s.paused.during(call.gatekeeper, from, due) {
 		return true
 	}
-	for name := range s.links.faultSpans {
-		a, b, _ := strings.Cut(name, " ")
-		if slices.Contains([]string{a, b}, call.gatekeeper) && (strings.HasPrefix(a, s.callerPrefix) || strings.HasPrefix(b, s.callerPrefix)) &&
-			s.links.during(name, from, due) {
-			return true
-		}
-	}
-	return false
+	return s.links.cutsOffCallers(call.gatekeeper, s.callerPrefix, from, due)
 }
--- a/internal/fleetcheck/evacuations.go
+++ b/internal/fleetcheck/evacuations.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"beammux/control"
 )
@@ -121,17 +120,7 @@
 
 // excused reports whether the gatekeeper was paused, or its callers could not see the end of their connection.
 func (i *Evacuations) excused(name string, from, to control.Micros) bool {
-	if i.paused.during(name, from, to) {
-		return true
-	}
-	for link := range i.links.faultSpans {
-		a, b, _ := strings.Cut(link, " ")
-		isCallers := strings.HasPrefix(a, i.callerPrefix) || strings.HasPrefix(b, i.callerPrefix)
-		if isCallers && (a == name || b == name) && i.links.during(link, from, to) {
-			return true
-		}
-	}
-	return false
+	return i.paused.during(name, from, to) || i.links.cutsOffCallers(name, i.callerPrefix, from, to)
 }
 
 // End implements Invariant.
--- a/internal/fleetcheck/spans.go
+++ b/internal/fleetcheck/spans.go
@@ -1,6 +1,10 @@
 package fleetcheck
 
-import "beammux/control"
+import (
+	"strings"
+
+	"beammux/control"
+)
 
 // faultSpans records, by name, when something was impaired. The zero value holds no span.
 type faultSpans map[string][]span
@@ -66,6 +70,19 @@
 	}
 }
 
+// cutsOffCallers reports whether the link between a gatekeeper and callers was impaired in an interval. The names of the callers'
+// processes begin with callerPrefix.
+func (l linkSpans) cutsOffCallers(gatekeeper, callerPrefix string, from, to control.Micros) bool {
+	for name := range l.faultSpans {
+		a, b, _ := strings.Cut(name, " ")
+		isCallers := strings.HasPrefix(a, callerPrefix) || strings.HasPrefix(b, callerPrefix)
+		if isCallers && (a == gatekeeper || b == gatekeeper) && l.during(name, from, to) {
+			return true
+		}
+	}
+	return false
+}
+
 // linkName is the name of the link between two processes, whichever of them opens connections.
 func linkName(a, b string) string {
 	if a > b {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -211,56 +209,6 @@
 	c.note(history.Event{Kind: history.Gone, Call: call.ID})
 }
 
-// Abort ends a set-up that has no final answer yet, because its caller's connection is about to be closed. The caller receives a
-// refusal if no server was tried, and else a failure. It does not affect a call of another caller with the same id.
-func (c *Core) Abort(id string, caller Caller) {
-	c.Post(func() {
-		if call := c.calls[id]; call != nil && !call.established && call.caller == caller {
-			c.abort(call)
-		}
-	})
-}
-
-// AbortAll ends all set-ups that have no final answer yet, as Abort does, because the process is about to end.
-func (c *Core) AbortAll() {
-	c.Post(func() {
-		for _, call := range slices.Collect(maps.Values(c.calls)) {
-			if !call.established {
-				c.abort(call)
-			}
-		}
-	})
-}
-
-// abort ends the set-up of a call that has no final answer yet.
-func (c *Core) abort(call *callState) {
-	c.handle(control.Withdrawn{ID: call.ID})
-	c.endAttempt(call, control.Cancelled, true)
-	if call.attempts == 0 {
-		c.refuse(call, 0)
-	} else {
-		c.fail(call)
-	}
-}
-
-// refuse answers a call with a refusal. Its caller should not retry before wait has passed.
-func (c *Core) refuse(call *callState, wait control.Micros) {
-	c.close(call)
-	c.note(history.Event{Kind: history.Refused, Call: call.ID, Span: wait})
-	c.stats.Class(call.Class).Overload.Add(1)
-	c.observe(counting.Refused, &call.Setup, 0)
-	call.caller.Refuse(span(wait))
-}
-
-// fail answers a call with a failure.
-func (c *Core) fail(call *callState) {
-	c.close(call)
-	c.note(history.Event{Kind: history.Failed, Call: call.ID})
-	c.stats.Class(call.Class).Error.Add(1)
-	c.observe(counting.Failed, &call.Setup, 0)
-	call.caller.Fail()
-}
-
 // Hangup ends a call on behalf of its caller. An established call ends regardless of caller, but a set-up is given up only if
 // caller is its own; a nil caller is not known and gives up no set-up. done, if not nil, receives whether the call was known.
 func (c *Core) Hangup(id string, cause int, caller Caller, done func(known bool)) {
@@ -309,35 +257,6 @@
 	c.checkDrained()
 }
 
-// AnswerWithin bounds the deadlines of the calls that arrive from now on: none is later than d from now. It is used before the
-// process ends, so that these calls have their final answers soon after.
-func (c *Core) AnswerWithin(d time.Duration) {
-	c.Post(func() { c.latestDeadline = c.clock.now() + control.Micros(d/time.Microsecond) })
-}
-
-// OnDrained registers f to be called once, as soon as no call waits for its final answer. Established calls may still be open.
-func (c *Core) OnDrained(f func()) {
-	c.Post(func() {
-		c.onDrained = f
-		c.checkDrained()
-	})
-}
-
-// checkDrained calls the function given to OnDrained if no call is unanswered. The function is posted, so that the last answer
-// has been delivered before it runs.
-func (c *Core) checkDrained() {
-	if c.unanswered > 0 || c.onDrained == nil {
-		return
-	}
-	c.Post(func() {
-		if c.unanswered == 0 && c.onDrained != nil {
-			f := c.onDrained
-			c.onDrained = nil
-			f()
-		}
-	})
-}
-
 // handle passes one event to the module and carries out the resulting actions. Carrying out an action may call handle again:
 // the nested invocation only appends its actions to c.actions, and the outer one carries them out.
 func (c *Core) handle(event control.Event) {
@@ -397,3 +316,21 @@
 		c.log.Info(action.Text)
 	}
 }
+
+// refuse answers a call with a refusal. Its caller should not retry before wait has passed.
+func (c *Core) refuse(call *callState, wait control.Micros) {
+	c.close(call)
+	c.note(history.Event{Kind: history.Refused, Call: call.ID, Span: wait})
+	c.stats.Class(call.Class).Overload.Add(1)
+	c.observe(counting.Refused, &call.Setup, 0)
+	call.caller.Refuse(span(wait))
+}
+
+// fail answers a call with a failure.
+func (c *Core) fail(call *callState) {
+	c.close(call)
+	c.note(history.Event{Kind: history.Failed, Call: call.ID})
+	c.stats.Class(call.Class).Error.Add(1)
+	c.observe(counting.Failed, &call.Setup, 0)
+	call.caller.Fail()
+}
