Decide on messages being received in the drain module; a shutdown ends as early as before

With the check in Conn.FinishIdle a shutdown beside clients that never finish a message would have gone on for half of its remaining time, though requests on open connections are due an answer only up to 0.6 s after SIGTERM, and its look for idle connections begins at 0.7 s. The drain's decision has the state now, as typed input with the others, and the model test covers it.

--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -9,6 +9,7 @@
 //   - Until ReleaseDelay every request is served by the same rules as before, and a connection is closed once it has been quiet
 //     for QuietPeriod, with no answer pending and no call standing on it.
 //   - Then set-ups that arrive are refused, and a connection is closed, with its calls released, once no answer is pending.
+//     Until AnswerDelay one on which a message is being received stays open.
 //   - From AnswerDelay on the pending set-ups are ended.
 //   - From CutDelay on a connection that is still open is closed at once.
 //
@@ -81,6 +82,7 @@
 	OpenedAt    control.Micros
 	LastUsed    control.Micros // when it last carried a message or an answer
 	Unanswered  bool           // a set-up on it waits for its answer
+	Receiving   bool           // a message has begun and is not complete
 	Established bool           // a call that was set up on it still stands
 }
 
@@ -114,11 +116,11 @@
 			return Cut
 		case elapsed >= AnswerDelay:
 			return EndSetups
-		case elapsed >= ReleaseDelay && !c.Unanswered:
+		case elapsed >= ReleaseDelay && !c.Unanswered && !c.Receiving:
 			return ReleaseCalls
 		}
 	}
-	if c.Unanswered || c.Established || now-max(c.LastUsed, d.since) < QuietPeriod {
+	if c.Unanswered || c.Receiving || c.Established || now-max(c.LastUsed, d.since) < QuietPeriod {
 		return KeepOpen
 	}
 	return Close
--- a/control/drain/drain_test.go
+++ b/control/drain/drain_test.go
@@ -53,6 +53,9 @@
 		{"standing calls, before the release delay", ReleaseDelay - 1, established, KeepOpen},
 		{"standing calls, after the release delay", ReleaseDelay, established, ReleaseCalls},
 		{"just used, after the release delay", ReleaseDelay, with(func(c *Connection) { c.LastUsed = evacuatedAt + ReleaseDelay }), ReleaseCalls},
+		{"message being received", ReleaseDelay - 1, with(func(c *Connection) { c.Receiving = true }), KeepOpen},
+		{"message being received, after the release delay", AnswerDelay - 1, with(func(c *Connection) { c.Receiving, c.Established = true, true }), KeepOpen},
+		{"message being received, after the answer delay", AnswerDelay, with(func(c *Connection) { c.Receiving = true }), EndSetups},
 		{"pending answer, after the answer delay", AnswerDelay, both, EndSetups},
 		{"pending answer, after the cut delay", CutDelay, both, Cut},
 		{"opened late, after the cut delay", CutDelay, with(func(c *Connection) { c.OpenedAt = evacuatedAt + CutDelay - QuietPeriod }), EndSetups},
@@ -84,7 +87,7 @@
 				d.Rejoin(now)
 			}
 			c := Connection{LastUsed: now - control.Micros(rapid.Int64Range(0, 3_000_000).Draw(t, "idle")),
-				Unanswered: rapid.Bool().Draw(t, "unanswered"), Established: rapid.Bool().Draw(t, "established")}
+				Unanswered: rapid.Bool().Draw(t, "unanswered"), Receiving: rapid.Bool().Draw(t, "receiving"), Established: rapid.Bool().Draw(t, "established")}
 			c.OpenedAt = c.LastUsed - control.Micros(rapid.Int64Range(0, 3_000_000).Draw(t, "older"))
 			got := d.DecideConnection(now, c)
 			evacuated, since := d.Evacuated()
@@ -96,7 +99,7 @@
 				want = Cut
 			case elapsed >= AnswerDelay:
 				want = EndSetups
-			case c.Unanswered:
+			case c.Unanswered, c.Receiving:
 			case elapsed >= ReleaseDelay:
 				want = ReleaseCalls
 			case !c.Established && now-c.LastUsed >= QuietPeriod && elapsed >= QuietPeriod:
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -98,9 +98,9 @@
 // decide decides on one connection, counts the decision, and logs what it ends and connections that are overdue.
 func (e *evacuation) decide(state drain.Drain, now control.Micros, usage transport.Usage) drain.Decision {
 	decision := state.DecideConnection(now, drain.Connection{OpenedAt: e.sinceStart(usage.OpenedAt), LastUsed: e.sinceStart(usage.LastUsed),
-		Unanswered: usage.Unanswered > 0, Established: usage.Established > 0})
+		Unanswered: usage.Unanswered > 0, Receiving: usage.Receiving, Established: usage.Established > 0})
 	e.decisions[decision].Add(1)
-	fields := logrus.Fields{"caller": usage.Remote, "unanswered": usage.Unanswered, "established": usage.Established,
+	fields := logrus.Fields{"caller": usage.Remote, "unanswered": usage.Unanswered, "established": usage.Established, "receiving": usage.Receiving,
 		"decision": decision.String(), "age_ms": time.Since(usage.OpenedAt).Milliseconds(), "unused_ms": time.Since(usage.LastUsed).Milliseconds()}
 	switch {
 	case state.Overdue(now):
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -192,7 +192,7 @@
 	return raw
 }
 
-// NoteMessageBegun records that a message has begun, so that the connection is not idle until NoteMessage.
+// NoteMessageBegun records that a message has begun. It is complete with NoteMessage.
 func (c *Conn) NoteMessageBegun() { c.receiving.Store(true) }
 
 // NoteMessage records that a whole message was received.
@@ -399,14 +399,12 @@
 	c.wakeWriter()
 }
 
-// FinishIdle calls Finish if the connection is idle, that is, without an unanswered message, without unprocessed input, and
-// without a message that is being received.
+// FinishIdle calls Finish if the connection is idle, that is, without an unanswered message and without unprocessed input.
 // Otherwise it has no effect and returns false. It is atomic with Hold: if a set-up arrives at the same time, either it is
 // held and the connection stays open, or Hold returns false.
-func (c *Conn) FinishIdle() bool { return !c.unread() && !c.receiving.Load() && c.FinishAnswered() }
+func (c *Conn) FinishIdle() bool { return !c.unread() && c.FinishAnswered() }
 
-// FinishAnswered is FinishIdle for a connection whose input may be lost: neither unprocessed input nor a message that is being
-// received keeps it open.
+// FinishAnswered is FinishIdle for a connection whose input may be lost: unprocessed input doesn't keep it open.
 func (c *Conn) FinishAnswered() bool {
 	answered := c.markClosingIfIdle()
 	if answered {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -248,7 +248,7 @@
 }
 
 // FinishIdle closes every idle connection, as Conn.FinishIdle does. It reports whether these were all: requests on a connection
-// that stays open must still be answered. With force, unread bytes and messages that are being received keep no connection open.
+// that stays open must still be answered. With force, connections with unread bytes count as idle too.
 func (l *Listener) FinishIdle(force bool) (all bool) {
 	all = true
 	for _, c := range l.openConns() {
