Judge releases from the callers' next connection where the network ended the last one

Trace: both gatekeepers were evacuated, a reset of the link to their callers had ended the only connection, and the front opens none to an evacuated gatekeeper. The server released in between; the gatekeeper had no connection to send the release on, and sent it 66 and 24 ms after the next was opened. The check counts 1 s from the callers' next connection now, only where the network ended the last one; after a close by the gatekeeper the bound stays.

--- a/internal/fleetcheck/established.go
+++ b/internal/fleetcheck/established.go
@@ -25,6 +25,7 @@
 	down         faultSpans // by gatekeeper: not ready
 	paused       faultSpans // by gatekeeper
 	links        linkSpans
+	unconnected  faultSpans                // by gatekeeper: a network fault ended its callers' connection, and they have opened no other
 	removedAt    map[string]control.Micros // by server that the list has removed
 	started      map[string][]control.Micros
 	answeredBy   map[string]string // last server that answered a call
@@ -44,7 +45,8 @@
 // NewEstablishedCalls returns the invariant. The names of the callers' processes, and of no others, begin with callerPrefix.
 func NewEstablishedCalls(callerPrefix string) *EstablishedCalls {
 	return &EstablishedCalls{callerPrefix: callerPrefix, calls: map[string]*establishedCall{}, down: faultSpans{}, paused: faultSpans{},
-		links: newLinkSpans(), removedAt: map[string]control.Micros{}, started: map[string][]control.Micros{}, answeredBy: map[string]string{}}
+		unconnected: faultSpans{},
+		links:       newLinkSpans(), removedAt: map[string]control.Micros{}, started: map[string][]control.Micros{}, answeredBy: map[string]string{}}
 }
 
 // Rule implements Invariant.
@@ -67,6 +69,12 @@
 		s.paused.end(e.Process, e.At)
 	case LinkFaulty, LinkHealed:
 		s.links.event(e)
+	case ClientDisconnected:
+		if s.links.cutsOffCallers(e.Process, s.callerPrefix, e.At, e.At) {
+			s.unconnected.begin(e.Process, e.At)
+		}
+	case ClientConnected:
+		s.unconnected.end(e.Process, e.At)
 	case CallersLeft:
 		s.callersLeft = e.At
 	case Listed:
@@ -132,6 +140,11 @@
 			healed := max(call.serverReleasedAt, s.links.lastEnd(link, s.now), s.lastStart(call))
 			return healed + afterLoss, why
 		}
+		// Without a connection of its callers the gatekeeper can send no release.
+		connected := s.unconnected.lastEnd(call.gatekeeper, s.now)
+		if s.unconnected.during(call.gatekeeper, call.serverReleasedAt, call.serverReleasedAt+afterRelease) {
+			return max(call.serverReleasedAt, connected) + afterRelease, why
+		}
 		return call.serverReleasedAt + afterRelease, why
 	case call.serverLostAt > 0 && !s.endedBy(call, call.serverLostAt+afterLoss):
 		return call.serverLostAt + afterLoss, fmt.Sprintf("lost with %s at %d ms", call.server, call.serverLostAt/1000)
