Release calls whose connection has ended when an evacuation closes the others

Callers saw: a call whose connection was reset stood on at an evacuated gatekeeper; once that had closed all other connections its release had none to come on. Cause: the evacuation releases the calls of each connection that it closes, and a call whose connection has ended belongs to none of those.

--- a/cmd/beammux/evacuation_test.go
+++ b/cmd/beammux/evacuation_test.go
@@ -245,7 +245,9 @@
 }
 
 // probe sends a health check.
-func (c *keptClient) probe() { fmt.Fprintln(c.conn, `{"msg":"probe","sid":"ffffffffffffffff","attrs":{},"code":0}`) }
+func (c *keptClient) probe() {
+	fmt.Fprintln(c.conn, `{"msg":"probe","sid":"ffffffffffffffff","attrs":{},"code":0}`)
+}
 
 // Guards against idle connections that an evacuated gatekeeper holds because its client sends health checks on them.
 func TestEvacuationEndsConnectionsThatProbe(t *testing.T) {
@@ -316,3 +318,25 @@
 	}
 	return n
 }
+
+// Guards against calls left standing because the connection of their set-up was reset before an evacuation, which closes all others: their
+// release must reach the caller on one of those, and the server.
+func TestEvacuationReleasesCallsOfConnectionsThatEnded(t *testing.T) {
+	g := startEvacuatedGatekeeper(t, 0)
+	first := dialKeptClient(t, g.callersAddr, 1)
+	first.send(2*time.Second, 1, 0)
+	require.Eventually(t, func() bool { return first.answered() == 1 }, time.Second, 10*time.Millisecond)
+	other := dialKeptClient(t, g.callersAddr, 2)
+	other.send(2*time.Second, 1, 0)
+	require.Eventually(t, func() bool { return other.answered() == 1 }, time.Second, 10*time.Millisecond)
+	id := fmt.Sprintf("%08x%08x", 1, 0)
+	other.mu.Lock()
+	other.calls[id] = false // its caller has come again
+	other.mu.Unlock()
+	require.NoError(t, first.conn.(*net.TCPConn).SetLinger(0))
+	first.conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	g.operate(t, "/api/evacuate")
+	other.requireNothingLost(t)
+	require.Eventually(t, func() bool { return g.server.heardRelease(id) }, time.Second, 10*time.Millisecond, "the server has no release")
+}
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -72,6 +72,9 @@
 		e.completed = false
 		return
 	}
+	if state.RefusesSetups(now) {
+		n.front.ReleaseDisconnected()
+	}
 	decide := func(usage transport.Usage) drain.Decision { return e.decide(state, now, usage) }
 	n.front.Sweep(decide)
 	if n.agent != nil {
--- a/internal/protocol/jsonl/front.go
+++ b/internal/protocol/jsonl/front.go
@@ -130,6 +130,30 @@
 	}
 }
 
+// ReleaseDisconnected releases the established calls whose connection has ended, as long as there is another one on which their release
+// can be sent. Once an evacuation has closed that, none is left.
+func (f *Front) ReleaseDisconnected() {
+	for _, c := range f.disconnectedWithCalls() {
+		f.releaseCalls(c)
+	}
+}
+
+// disconnectedWithCalls returns the connections that have ended and on which calls are established. It returns none if no connection is
+// open.
+func (f *Front) disconnectedWithCalls() (ended []*conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.conns) == 0 {
+		return nil
+	}
+	for _, c := range f.established {
+		if !slices.Contains(f.conns, c) && !slices.Contains(ended, c) {
+			ended = append(ended, c)
+		}
+	}
+	return ended
+}
+
 // abortSetups ends the unanswered set-ups of a connection.
 func (f *Front) abortSetups(c *conn) {
 	for _, setup := range c.openSetups() {
