Collect a returned server's releases after its first message, not after the close

Trace: the gatekeeper had closed silent connections during the partition; the connection that collects what a server writes there before it sees the close is opened 0.2 s after the close, so before the heal, and not at all where four are open or the one was closed to make room. The server wrote the release on a connection that it did not know to be closed, and no other followed. Now the 0.2 s count from the server's first message since any end, and at the limit an idle connection makes room, at once, so that its own late releases come on the same one.

TestConnectionCollectsReleasesAfterASilence failed without the change (no connection follows).

--- a/internal/routing/peer.go
+++ b/internal/routing/peer.go
@@ -50,6 +50,7 @@
 	redialTimer     *time.Timer      // next dial, nil if none is scheduled
 	pendingReleases []pendingRelease // releases that wait for a connection
 	wasReset        bool             // a connection was reset since the last successful dial: the server process may have died
+	connEnded       bool             // a connection on which the server had sent something has ended, and it has sent nothing since
 	disconnectedAt  control.Micros   // since when no connection is open; 0 while one is, and once the server's calls were ended
 	warnedAt        control.Micros   // when a failed connect was last logged
 	replacement     *replacement     // server that has taken the address, or nil
--- a/internal/routing/peer_conn.go
+++ b/internal/routing/peer_conn.go
@@ -68,6 +68,7 @@
 	p := c.peer
 	first := !c.received
 	c.received = true
+	p.collectLateReleases()
 	if !c.proven && c.conn != nil { // otherwise connected, which follows, proves it
 		p.proveAlive(c)
 	}
--- a/internal/routing/peer_connections.go
+++ b/internal/routing/peer_connections.go
@@ -113,17 +113,36 @@
 	}
 	if last.received {
 		p.connect() // the server may have releases that it could not send before the connection ended
-		p.After(lateReleaseDelay, p.collectLateReleases)
 	} else { // nothing was received on it: wait before the next dial
 		p.scheduleRedial()
 	}
 }
 
-// collectLateReleases opens one more connection after one has ended. Before the server saw that end it may have written releases there,
-// after the connection that followed was open already; it sends them on the next one. A server that sends nothing is left alone.
+// collectLateReleases opens one more connection after one has ended, lateReleaseDelay after the server's first message since then. Before
+// the server saw that end it may have written releases there, after the connection that followed was open already; it sends them on the
+// next one. The time counts from its message, since what kept that away may have kept the end away too. A server that sends nothing is
+// left alone.
 func (p *Peer) collectLateReleases() {
-	if slices.ContainsFunc(p.conns, func(c *peerConn) bool { return c.received }) {
-		p.connect()
+	if !p.connEnded {
+		return
+	}
+	if p.announces() {
+		p.makeRoom() // now: what the server writes on that connection before it sees the close comes on the next one too
+	}
+	p.connEnded = false
+	p.After(lateReleaseDelay, p.connect)
+}
+
+// makeRoom closes a connection that carries no set-up if there are as many as the dialer allows.
+func (p *Peer) makeRoom() {
+	if len(p.conns) < p.dialer.MaxConns(p.addr) {
+		return
+	}
+	for _, c := range p.conns {
+		if len(c.inFlight) == 0 {
+			p.closeConn(c)
+			return
+		}
 	}
 }
 
@@ -163,6 +182,7 @@
 		p.processes.Ended(c.number, p.core.clock.now(), closedByPeer)
 	}
 	p.conns = slices.DeleteFunc(p.conns, func(o *peerConn) bool { return o == c })
+	p.connEnded = p.connEnded || c.received
 	for _, o := range c.inFlight {
 		code := control.NotSent
 		if !o.write.withdraw() {
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -55,14 +55,7 @@
 	if p.dialing != nil || p.redialTimer != nil {
 		return
 	}
-	if len(p.conns) >= p.dialer.MaxConns(p.addr) {
-		for _, c := range p.conns {
-			if len(c.inFlight) == 0 {
-				p.closeConn(c)
-				break
-			}
-		}
-	}
+	p.makeRoom()
 	p.connect()
 }
 
--- a/internal/routing/silence_test.go
+++ b/internal/routing/silence_test.go
@@ -154,3 +154,36 @@
 		require.Equal(t, 1, server.conns[0].closed)
 	})
 }
+
+// Guards against a release that a server writes, as a partition heals, on a connection that was closed meanwhile: it comes on the next
+// connection that is opened after that, so one is opened, also where as many are open as are allowed.
+func TestConnectionCollectsReleasesAfterASilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, server := newReportingHarness()
+		defer h.stop()
+		p := h.list.hosts["a"].peer
+		server.run(h, time.Second)
+		for range server.MaxConns("") {
+			p.Post(p.connect)
+			synctest.Wait()
+		}
+		server.run(h, time.Second)
+		server.silent = true
+		h.sleep(4 * time.Second) // a connection is closed so that another one can be opened
+		server.silent = false
+		require.Greater(t, len(server.conns), server.MaxConns(""))
+		server.report()
+		synctest.Wait()
+		h.sleep(lateReleaseDelay - 10*time.Millisecond)
+		dialed := len(server.conns)
+		h.sleep(20 * time.Millisecond)
+		require.Len(t, server.conns, dialed+1, "connections after the server is back")
+		server.run(h, 5*time.Second)
+		require.Len(t, server.conns, dialed+1, "no further ones follow")
+		open := 0
+		for _, conn := range server.conns {
+			open += 1 - conn.closed
+		}
+		require.LessOrEqual(t, open, server.MaxConns(""))
+	})
+}
