--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -83,7 +83,7 @@
 	LastUsed    control.Micros // when it last carried a message or an answer
 	Unanswered  bool           // a set-up on it waits for its answer
 	Receiving   bool           // a message has begun and is not complete
-	Established bool           // a call that was set up on it still stands
+	Established bool           // a call that was set up on it is still open
 }
 
 // Decision is the decision on one caller's connection.
--- a/control/drain/drain_test.go
+++ b/control/drain/drain_test.go
@@ -72,7 +72,7 @@
 }
 
 // Property test over sequences of evacuations and rejoins: nothing is closed while serving; with an answer pending a connection is kept
-// until the answer delay and then ended whatever its client does; an idle one is closed after the quiet period, and one with standing
+// until the answer delay and then ended, independent of its client; an idle one is closed after the quiet period, and one with standing
 // calls is released after the release delay.
 func TestConnectionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/fleetlab/script/script.go
+++ b/internal/fleetlab/script/script.go
@@ -68,7 +68,7 @@
 	Limits      *Limits  `yaml:"limits,omitempty"`     // fleet-wide limit on all calls
 	Verdicts    bool     `yaml:"verdicts,omitempty"`   // fleet verdicts on servers are enabled
 	GiveUp      float64  `yaml:"give_up,omitempty"`    // part of the attempts that callers cancel soon after they were sent
-	KeepUsing   bool     `yaml:"keep_using,omitempty"` // callers use open connections whatever their health checks say
+	KeepUsing   bool     `yaml:"keep_using,omitempty"` // callers use open connections also after a failed health check
 	Homes       []Home   `yaml:"homes,omitempty"`      // gatekeepers that receive first calls, by time; empty: all
 	Faults      []Fault  `yaml:"faults"`
 }
--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -72,7 +72,7 @@
 	Length      time.Duration
 	FirstTarget func(*rand.Rand) (home, dest int) // chooses the gatekeeper and the first-choice cell of a first call
 	RetryTarget func(*rand.Rand) int              // chooses the gatekeeper of a retry, -1 for the next one
-	KeepUsing   bool                              // callers use an open connection whatever its later health checks say
+	KeepUsing   bool                              // callers use an open connection also after a failed health check
 	GiveUpShare float64                           // fraction of attempts that the caller cancels within maxGiveUpDelay
 	Key         func(*rand.Rand) string           // chooses the number of a first call, "" for a random one; nil: always random
 	Observer    func(Observation)                 // receives each observation; runs with a lock held and must not call Callers
