Don't count connections that may stay open, or have just been opened, as overdue

Both checks failed before (TestEvacuateSendsSIPClientsAway with its new lines, TestConnectionsToAnEvacuatedGatekeeperAreClosedSoon) and pass now; drain, SIP and the evacuation tests of node pass.

--- a/control/drain/drain.go
+++ b/control/drain/drain.go
@@ -67,9 +67,10 @@
 // Evacuated reports whether clients are sent away, and since when.
 func (d *Drain) Evacuated() (bool, control.Micros) { return d.evacuated, d.since }
 
-// Overdue reports whether the time by which an evacuated gatekeeper must have closed its clients' connections has passed.
-func (d *Drain) Overdue(now control.Micros) bool {
-	return d.evacuated && !d.shuttingDown && now-d.since >= CloseBy
+// Overdue reports whether the time has passed by which an evacuated gatekeeper must have closed a connection. One that was opened late
+// has as long as the last stages take.
+func (d *Drain) Overdue(now control.Micros, c Connection) bool {
+	return d.evacuated && !d.shuttingDown && now-d.since >= CloseBy && now-c.OpenedAt >= QuietPeriod+CloseBy-AnswerDelay
 }
 
 // RefusesSetups reports whether set-ups that arrive on callers' connections are refused, so that these can be closed.
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -20,7 +20,7 @@
 // are safe for concurrent use; all else belongs to the goroutine of run.
 type evacuation struct {
 	node      *Node
-	log       *loglimit.Limiter // log of connections that are overdue
+	log       *loglimit.Limiter // log of connections that are ended or overdue
 	decisions [drain.Decisions]atomic.Int64
 	overdue   atomic.Int64 // connections found open past drain.CloseBy, counted at each sweep
 	ready     bool         // at the last sweep
@@ -100,13 +100,14 @@
 
 // decide decides on one connection, counts the decision, and logs what it ends and connections that are overdue.
 func (e *evacuation) decide(state drain.Drain, now control.Micros, usage transport.Usage) drain.Decision {
-	decision := state.DecideConnection(now, drain.Connection{OpenedAt: e.sinceStart(usage.OpenedAt), LastUsed: e.sinceStart(usage.LastUsed),
-		Unanswered: usage.Unanswered > 0, Receiving: usage.Receiving, Established: usage.Established > 0})
+	connection := drain.Connection{OpenedAt: e.sinceStart(usage.OpenedAt), LastUsed: e.sinceStart(usage.LastUsed),
+		Unanswered: usage.Unanswered > 0, Receiving: usage.Receiving, Established: usage.Established > 0}
+	decision := state.DecideConnection(now, connection)
 	e.decisions[decision].Add(1)
 	fields := logrus.Fields{"caller": usage.Remote, "unanswered": usage.Unanswered, "established": usage.Established, "receiving": usage.Receiving,
 		"decision": decision.String(), "age_ms": time.Since(usage.OpenedAt).Milliseconds(), "unused_ms": time.Since(usage.LastUsed).Milliseconds()}
 	switch {
-	case state.Overdue(now):
+	case state.Overdue(now, connection):
 		e.overdue.Add(1)
 		e.log.Warn("evacuation: connection of a client is open past its time", fields)
 	case decision == drain.EndSetups && usage.Unanswered > 0, decision == drain.Cut:
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"beammux/control/drain"
 	"beammux/internal/config"
 	"beammux/internal/protocol/sip"
 	"beammux/internal/protocol/sip/siptest"
@@ -88,3 +90,32 @@
 			"%s: %d final responses, the connection ended %v later", id, responses[id], endedAt.Sub(sentAt[id]))
 	}
 }
+
+// metric returns the value of a metric.
+func metric(t *testing.T, n *Node, name string) (value float64) {
+	t.Helper()
+	var text strings.Builder
+	n.WriteMetrics(&text)
+	_, rest, found := strings.Cut("\n"+text.String(), "\n"+name+" ")
+	require.True(t, found, "no metric %s", name)
+	_, err := fmt.Sscan(rest, &value)
+	require.NoError(t, err)
+	return value
+}
+
+// Guards against warnings about clients that connect to a gatekeeper long after it was evacuated: such a connection is closed soon, and is
+// not overdue.
+func TestConnectionsToAnEvacuatedGatekeeperAreClosedSoon(t *testing.T) {
+	n := operatorsNode(t)
+	n.Evacuate()
+	time.Sleep(time.Duration(drain.CloseBy) * time.Microsecond)
+	for range 3 {
+		c := dial(t, n)
+		opened := time.Now()
+		c.SetReadDeadline(opened.Add(time.Second))
+		_, err := c.Read(make([]byte, 1))
+		require.Equal(t, io.EOF, err)
+		require.Less(t, time.Since(opened), time.Second)
+	}
+	require.Zero(t, metric(t, n, "proxy_evacuation_overdue_total"))
+}
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -267,6 +267,9 @@
 	require.Equal(t, 503, request(datagrams, "UDP", "OPTIONS"))
 	time.Sleep(2500 * time.Millisecond)
 	require.Equal(t, 503, request(busy, "TCP", "OPTIONS"), "on the connection of the established call")
+	time.Sleep(2 * time.Second)
+	require.Equal(t, 503, request(busy, "TCP", "OPTIONS"), "past the time of all other connections")
+	require.Zero(t, metric(t, n, "proxy_evacuation_overdue_total"), "the connection of the established call may stay open")
 	n.Rejoin()
 	require.Eventually(t, func() bool { return request(datagrams, "UDP", "OPTIONS") == 200 }, time.Second, 10*time.Millisecond)
 }
--- a/internal/protocol/sip/drain.go
+++ b/internal/protocol/sip/drain.go
@@ -19,34 +19,26 @@
 // again. Set-ups in datagrams hold no connection.
 func (a *Agent) RefuseSetups(refuse bool) { a.Post(func() { a.refusingOnConns = refuse }) }
 
-// Sweep applies the decision of decide to each TCP connection of a caller. A call that is established on a connection is not released: its
-// dialog does not end with the connection, and the caller may have no other way to be reached, so the connection stays open.
+// Sweep applies the decision of decide to each TCP connection of a caller on which no call is established. A call is not released: its
+// dialog does not end with the connection, and the caller may have no other way to be reached, so such a connection stays open.
 func (a *Agent) Sweep(decide func(transport.Usage) drain.Decision) {
 	a.Post(func() {
 		established := a.establishedCalls()
 		for _, c := range a.tcpConns {
-			if a.isServerConn(c) {
-				continue
+			if !a.isServerConn(c) && !established[c] {
+				a.applyDecision(c, decide(c.Usage()))
 			}
-			usage := c.Usage()
-			usage.Established = established[c]
-			a.applyDecision(c, decide(usage), usage.Established > 0)
 		}
 	})
 }
 
 // applyDecision applies a decision to the TCP connection of a caller.
-func (a *Agent) applyDecision(c *transport.Conn, decision drain.Decision, established bool) {
-	if decision == drain.EndSetups {
-		a.abortCalls(c)
-	}
-	if established {
-		return
-	}
+func (a *Agent) applyDecision(c *transport.Conn, decision drain.Decision) {
 	switch decision {
 	case drain.Close, drain.ReleaseCalls:
 		c.FinishIdle()
 	case drain.EndSetups:
+		a.abortCalls(c)
 		c.FinishAnswered()
 	case drain.Cut:
 		c.Close()
@@ -62,12 +54,12 @@
 	}
 }
 
-// establishedCalls returns the number of calls that are established on each TCP connection.
-func (a *Agent) establishedCalls() map[*transport.Conn]int {
-	established := map[*transport.Conn]int{}
+// establishedCalls returns the TCP connections on which a call is established.
+func (a *Agent) establishedCalls() map[*transport.Conn]bool {
+	established := map[*transport.Conn]bool{}
 	for _, d := range a.dialogs {
 		if f, ok := d.flow.(*tcpFlow); ok {
-			established[f.conn]++
+			established[f.conn] = true
 		}
 	}
 	return established
